--- /dev/null
+++ b/lib/src/catalogue.rs
@@ -0,0 +1,375 @@
+//! The operators' catalogue: kinds of request, their owners, classes and limits.
+//!
+//! Acceptance is a pure function of the document, so that every host gives the same verdict.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+use toml::Spanned;
+
+use crate::ids::EntryName;
+use crate::ids::IndexName;
+use crate::ids::Owner;
+
+/// The largest catalogue document, in bytes: what the configuration service holds in one value.
+pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
+
+/// The longest deadline that an entry may ask for, in milliseconds.
+pub const MAX_DEADLINE_MS: u64 = 60_000;
+
+/// Largest share of extra leaf calls (hedges and retries) that an entry may ask for.
+pub const MAX_EXTRA_LOAD: f64 = 0.5;
+
+/// One fault of a catalogue document.
+#[derive(Clone, Debug, Eq, Error, PartialEq, Serialize)]
+#[error("Line {line}: entry \"{entry}\", field \"{field}\": {message}")]
+pub struct Fault {
+    /// Line of the document, counted from 1.
+    pub line: usize,
+    /// Name of the entry, or empty where the fault lies outside of entries.
+    pub entry: String,
+    /// Name of the field, or empty where no single field is at fault.
+    pub field: String,
+    /// What is wrong.
+    pub message: String,
+    /// What the operator can do about it.
+    pub hint: String,
+}
+
+/// Why a catalogue document is refused as a whole.
+#[derive(Clone, Debug, Error)]
+pub enum CatalogueError {
+    /// The document has one or more faults.
+    #[error("Catalogue has {} fault(s); the first: {}", .0.len(), .0[0])]
+    Faults(Vec<Fault>),
+    /// The document is larger than the configuration service can hold.
+    #[error("Catalogue has {0} bytes, more than the {MAX_DOCUMENT_BYTES} allowed")]
+    TooLarge(usize),
+}
+
+impl CatalogueError {
+    /// Returns the single faults, of which there is at least one.
+    pub fn faults(&self) -> Vec<Fault> {
+        match self {
+            Self::Faults(faults) => faults.clone(),
+            Self::TooLarge(_) => vec![Fault {
+                line: 1,
+                entry: String::new(),
+                field: String::new(),
+                message: self.to_string(),
+                hint: "remove entries that are no longer used".to_owned(),
+            }],
+        }
+    }
+}
+
+/// Result of checking a catalogue.
+pub type Result<T> = std::result::Result<T, CatalogueError>;
+
+/// How soon a request must be served compared with others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Never waits behind ordinary requests.
+    Urgent,
+    /// Gets what urgent requests leave.
+    Ordinary,
+}
+
+/// What to do when the pinned index version can no longer be completed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OnVersionLoss {
+    /// Answer with the shards merged so far.
+    Partial,
+    /// Start again on another version while the deadline allows it.
+    Restart,
+}
+
+/// Checked limits of an entry. They hold over all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Limits {
+    /// Queries started per second.
+    pub queries_per_second: f64,
+    /// Queries in progress at once.
+    pub concurrent: u32,
+    /// Leaf processor time per second, in milliseconds.
+    pub effort_ms_per_second: f64,
+    /// Hedges and retries as a share of first leaf calls.
+    pub extra_load: f64,
+}
+
+/// A checked catalogue entry.
+///
+/// Invariants: a non-idempotent entry has no extra load; the deadline is above zero.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Entry {
+    /// The name that callers use.
+    pub name: EntryName,
+    /// The kind of request, passed to the leafs.
+    pub kind: String,
+    /// The partner that is charged.
+    pub owner: Owner,
+    /// The index that is searched.
+    pub index: IndexName,
+    /// Urgent or ordinary.
+    pub class: Class,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Time from arrival to answer.
+    pub deadline: Duration,
+    /// Smallest share of shards that makes an answer useful, 0 to 1.
+    pub minimum_coverage: f64,
+    /// What happens when the pinned version is lost.
+    pub on_version_loss: OnVersionLoss,
+    /// The limits agreed with the owner.
+    pub limits: Limits,
+}
+
+/// An accepted catalogue. Immutable; a later document makes a new one.
+#[derive(Clone, Debug, Default)]
+pub struct Catalogue {
+    entries: HashMap<EntryName, Arc<Entry>>,
+}
+
+impl Catalogue {
+    /// Finds an entry by its name.
+    pub fn entry(&self, name: &str) -> Option<&Arc<Entry>> {
+        let name = EntryName::try_from(name).ok()?;
+        self.entries.get(&name)
+    }
+
+    /// Returns all entries ordered by name.
+    pub fn entries(&self) -> Vec<&Arc<Entry>> {
+        let mut entries: Vec<_> = self.entries.values().collect();
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawDocument {
+    #[serde(default)]
+    entry: Vec<Spanned<RawEntry>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawEntry {
+    name: Spanned<String>,
+    kind: Spanned<String>,
+    owner: Spanned<String>,
+    index: Spanned<String>,
+    class: Class,
+    idempotent: bool,
+    deadline_ms: Spanned<u64>,
+    minimum_coverage: Spanned<f64>,
+    #[serde(default = "default_on_version_loss")]
+    on_version_loss: Spanned<OnVersionLoss>,
+    limits: RawLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawLimits {
+    queries_per_second: Spanned<f64>,
+    concurrent: Spanned<u32>,
+    effort_ms_per_second: Spanned<f64>,
+    extra_load: Spanned<f64>,
+}
+
+fn default_on_version_loss() -> Spanned<OnVersionLoss> {
+    Spanned::new(0..0, OnVersionLoss::Partial)
+}
+
+impl TryFrom<&str> for Catalogue {
+    type Error = CatalogueError;
+
+    fn try_from(text: &str) -> Result<Self> {
+        if text.len() > MAX_DOCUMENT_BYTES {
+            return Err(CatalogueError::TooLarge(text.len()));
+        }
+        let document: RawDocument = toml::from_str(text)
+            .map_err(|e| CatalogueError::Faults(vec![syntax_fault(text, &e)]))?;
+        let mut checker = Checker { text, faults: Vec::new(), entry: String::new() };
+        let mut entries = HashMap::new();
+        for raw in document.entry {
+            let Some(entry) = checker.check_entry(&raw) else { continue };
+            if entries.contains_key(&entry.name) {
+                checker.fault(
+                    &raw.get_ref().name,
+                    "name",
+                    "is used by an earlier entry too",
+                    "give each entry a name of its own",
+                );
+                continue;
+            }
+            entries.insert(entry.name.clone(), Arc::new(entry));
+        }
+        if checker.faults.is_empty() {
+            Ok(Self { entries })
+        } else {
+            Err(CatalogueError::Faults(checker.faults))
+        }
+    }
+}
+
+fn syntax_fault(text: &str, error: &toml::de::Error) -> Fault {
+    let start = error.span().map_or(0, |span| span.start);
+    let message = error.message().to_owned();
+    let quoted = |n: usize| message.split('`').nth(n).unwrap_or_default().to_owned();
+    let named = message.starts_with("unknown field") || message.starts_with("missing field");
+    Fault {
+        line: line_of(text, start),
+        entry: entry_before(text, start),
+        field: if named { quoted(1) } else { String::new() },
+        message,
+        hint: "see docs/CATALOGUE.md for the fields and their types".to_owned(),
+    }
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    text.bytes().take(offset).filter(|&b| b == b'\n').count() + 1
+}
+
+/// Finds the name of the entry in which the byte at `offset` lies, for faults of syntax.
+fn entry_before(text: &str, offset: usize) -> String {
+    let mut found = String::new();
+    let mut passed = 0;
+    for line in text.split_inclusive('\n') {
+        let starts_entry = line.trim() == "[[entry]]";
+        if passed > offset && starts_entry {
+            break;
+        }
+        if starts_entry {
+            found.clear();
+        }
+        if let Some(name) = line.trim().strip_prefix("name") {
+            found =
+                name.trim_matches(|c: char| c == '=' || c == '"' || c.is_whitespace()).to_owned();
+        }
+        passed += line.len();
+    }
+    found
+}
+
+struct Checker<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+    entry: String,
+}
+
+impl Checker<'_> {
+    fn fault<T>(&mut self, at: &Spanned<T>, field: &str, message: &str, hint: &str) {
+        self.faults.push(Fault {
+            line: line_of(self.text, at.span().start),
+            entry: self.entry.clone(),
+            field: field.to_owned(),
+            message: message.to_owned(),
+            hint: hint.to_owned(),
+        });
+    }
+
+    fn name<T>(&mut self, raw: &Spanned<String>, field: &str) -> Option<T>
+    where
+        T: for<'a> TryFrom<&'a str>,
+        for<'a> <T as TryFrom<&'a str>>::Error: fmt::Display,
+    {
+        match T::try_from(raw.get_ref()) {
+            Ok(name) => Some(name),
+            Err(e) => {
+                let message = e.to_string();
+                self.fault(raw, field, &message, "use lower-case letters, digits and '-'");
+                None
+            }
+        }
+    }
+
+    fn positive(&mut self, raw: &Spanned<f64>, field: &str) -> f64 {
+        let value = *raw.get_ref();
+        if !(value.is_finite() && value > 0.0) {
+            self.fault(raw, field, &format!("is {value}"), "use a number above 0");
+        }
+        value
+    }
+
+    fn share(&mut self, raw: &Spanned<f64>, field: &str, max: f64) -> f64 {
+        let value = *raw.get_ref();
+        if !(0.0..=max).contains(&value) {
+            self.fault(raw, field, &format!("is {value}"), &format!("use a share from 0 to {max}"));
+        }
+        value
+    }
+
+    fn check_entry(&mut self, raw: &Spanned<RawEntry>) -> Option<Entry> {
+        let raw = raw.get_ref();
+        self.entry = raw.name.get_ref().clone();
+        let name = self.name(&raw.name, "name");
+        let owner = self.name(&raw.owner, "owner");
+        let index = self.name(&raw.index, "index");
+        if raw.kind.get_ref().is_empty() {
+            self.fault(&raw.kind, "kind", "is empty", "name the request that leafs run");
+        }
+        let deadline_ms = *raw.deadline_ms.get_ref();
+        if !(1..=MAX_DEADLINE_MS).contains(&deadline_ms) {
+            let hint = format!("use 1 to {MAX_DEADLINE_MS} milliseconds");
+            self.fault(&raw.deadline_ms, "deadline_ms", &format!("is {deadline_ms}"), &hint);
+        }
+        let minimum_coverage = self.share(&raw.minimum_coverage, "minimum_coverage", 1.0);
+        let limits = self.check_limits(&raw.limits);
+        self.check_idempotent(raw, &limits);
+        Some(Entry {
+            name: name?,
+            kind: raw.kind.get_ref().clone(),
+            owner: owner?,
+            index: index?,
+            class: raw.class,
+            idempotent: raw.idempotent,
+            deadline: Duration::from_millis(deadline_ms),
+            minimum_coverage,
+            on_version_loss: *raw.on_version_loss.get_ref(),
+            limits,
+        })
+    }
+
+    fn check_limits(&mut self, raw: &RawLimits) -> Limits {
+        if *raw.concurrent.get_ref() == 0 {
+            self.fault(&raw.concurrent, "limits.concurrent", "is 0", "use at least 1");
+        }
+        Limits {
+            queries_per_second: self.positive(&raw.queries_per_second, "limits.queries_per_second"),
+            concurrent: *raw.concurrent.get_ref(),
+            effort_ms_per_second: self
+                .positive(&raw.effort_ms_per_second, "limits.effort_ms_per_second"),
+            extra_load: self.share(&raw.extra_load, "limits.extra_load", MAX_EXTRA_LOAD),
+        }
+    }
+
+    fn check_idempotent(&mut self, raw: &RawEntry, limits: &Limits) {
+        if raw.idempotent {
+            return;
+        }
+        if limits.extra_load > 0.0 {
+            self.fault(
+                &raw.limits.extra_load,
+                "limits.extra_load",
+                "is above 0 for an entry that is not idempotent",
+                "set extra_load = 0.0, since such a request is never hedged",
+            );
+        }
+        if *raw.on_version_loss.get_ref() == OnVersionLoss::Restart {
+            self.fault(
+                &raw.on_version_loss,
+                "on_version_loss",
+                "is \"restart\" for an entry that is not idempotent",
+                "use \"partial\", since such a request runs at most once",
+            );
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/hosts.rs
@@ -0,0 +1,169 @@
+//! The platform's host list: daemons and leafs, live or leaving.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::ids::HostName;
+use crate::ids::LeafKey;
+use crate::ids::LeafName;
+use crate::ids::Zone;
+
+/// Why a published host list is refused.
+#[derive(Debug, Error)]
+pub enum HostListError {
+    /// The document is not the expected JSON.
+    #[error("Host list does not parse")]
+    Syntax(#[source] serde_json::Error),
+    /// A leaf with no slots or connections cannot be called.
+    #[error("Leaf \"{0}\" must have at least 1 slot and 1 connection")]
+    NoRoom(LeafName),
+    /// A name is listed twice.
+    #[error("Name \"{0}\" is listed twice")]
+    Twice(String),
+}
+
+/// Result of checking a host list.
+pub type Result<T> = std::result::Result<T, HostListError>;
+
+/// Whether a host takes new work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// Takes new work.
+    #[default]
+    Live,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// A daemon's host as published.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonHost {
+    /// The host's name.
+    pub name: HostName,
+    /// Where its daemon listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Live or leaving.
+    #[serde(default)]
+    pub state: HostState,
+}
+
+/// A leaf as published.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeafHost {
+    /// The leaf's name.
+    pub name: LeafName,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts, over all hosts.
+    pub connections: u32,
+    /// Live or leaving.
+    #[serde(default)]
+    pub state: HostState,
+}
+
+/// The host list as published, in JSON.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawHostList {
+    /// The daemons' hosts.
+    pub daemons: Vec<DaemonHost>,
+    /// The leafs.
+    pub leafs: Vec<LeafHost>,
+}
+
+impl RawHostList {
+    /// Parses a published host list.
+    pub fn parse(text: &[u8]) -> Result<Self> {
+        serde_json::from_slice(text).map_err(HostListError::Syntax)
+    }
+}
+
+/// Gives each leaf name a key that stays the same for the life of the process.
+#[derive(Debug, Default)]
+pub struct LeafRegistry {
+    keys: Mutex<HashMap<LeafName, LeafKey>>,
+}
+
+impl LeafRegistry {
+    /// Returns the key of a leaf, making one for a new name.
+    pub fn key(&self, name: &LeafName) -> LeafKey {
+        let mut keys = self.keys.lock().unwrap();
+        let next = LeafKey(keys.len() as u32);
+        *keys.entry(name.clone()).or_insert(next)
+    }
+}
+
+/// A checked host list. Immutable.
+#[derive(Clone, Debug, Default)]
+pub struct HostList {
+    /// The daemons' hosts, ordered by name.
+    pub daemons: Vec<DaemonHost>,
+    leafs: HashMap<LeafKey, LeafHost>,
+    keys: HashMap<LeafName, LeafKey>,
+}
+
+impl HostList {
+    /// Checks a published host list.
+    pub fn new(raw: RawHostList, registry: &LeafRegistry) -> Result<Self> {
+        let mut daemons = raw.daemons;
+        daemons.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = daemons.windows(2).find(|pair| pair[0].name == pair[1].name) {
+            return Err(HostListError::Twice(pair[0].name.to_string()));
+        }
+        let mut leafs = HashMap::with_capacity(raw.leafs.len());
+        let mut keys = HashMap::with_capacity(raw.leafs.len());
+        for leaf in raw.leafs {
+            if leaf.slots == 0 || leaf.connections == 0 {
+                return Err(HostListError::NoRoom(leaf.name));
+            }
+            let key = registry.key(&leaf.name);
+            keys.insert(leaf.name.clone(), key);
+            if let Some(earlier) = leafs.insert(key, leaf) {
+                return Err(HostListError::Twice(earlier.name.to_string()));
+            }
+        }
+        Ok(Self { daemons, leafs, keys })
+    }
+
+    /// Finds the key of a listed leaf.
+    pub fn leaf_key(&self, name: &LeafName) -> Option<LeafKey> {
+        self.keys.get(name).copied()
+    }
+
+    /// Finds a listed leaf.
+    pub fn leaf(&self, key: LeafKey) -> Option<&LeafHost> {
+        self.leafs.get(&key)
+    }
+
+    /// Returns all listed leafs in no particular order.
+    pub fn leafs(&self) -> impl Iterator<Item = (LeafKey, &LeafHost)> {
+        self.leafs.iter().map(|(&key, leaf)| (key, leaf))
+    }
+
+    /// Returns the daemons' hosts of one zone.
+    pub fn zone_daemons<'a>(&'a self, zone: &'a Zone) -> impl Iterator<Item = &'a DaemonHost> {
+        self.daemons.iter().filter(move |host| host.zone == *zone)
+    }
+
+    /// Returns the zones that have daemons, ordered.
+    pub fn zones(&self) -> Vec<&Zone> {
+        let mut zones: Vec<_> = self.daemons.iter().map(|host| &host.zone).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+}
--- /dev/null
+++ b/lib/src/ids.rs
@@ -0,0 +1,180 @@
+//! Names and small keys that identify hosts, leafs, entries, shards and queries.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+use thiserror::Error;
+
+/// The longest name that is accepted, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Why a text is not a valid identifier.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum IdError {
+    /// The name is empty or too long.
+    #[error("Name \"{0}\" must have 1 to {MAX_NAME_BYTES} bytes")]
+    Length(String),
+    /// The name has a character outside the allowed set.
+    #[error("Name \"{0}\" may have only a-z, 0-9, '-', '_' and '.'")]
+    Character(String),
+    /// The text is not a query id.
+    #[error("Query id \"{0}\" must be two hexadecimal numbers joined by '-'")]
+    QueryId(String),
+}
+
+/// Result of parsing an identifier.
+pub type Result<T> = std::result::Result<T, IdError>;
+
+fn check_name(text: &str) -> Result<()> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(IdError::Length(text.to_owned()));
+    }
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    if !text.chars().all(allowed) {
+        return Err(IdError::Character(text.to_owned()));
+    }
+    Ok(())
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = IdError;
+
+            fn try_from(text: &str) -> Result<Self> {
+                check_name(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self> {
+                Self::try_from(text)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a catalogue entry.
+    EntryName
+);
+name_type!(
+    /// Name of the partner that owns entries and pays for them.
+    Owner
+);
+name_type!(
+    /// Name of a search index.
+    IndexName
+);
+name_type!(
+    /// Name of a host that runs a daemon.
+    HostName
+);
+name_type!(
+    /// Name of a leaf: one search process on a backend server.
+    LeafName
+);
+name_type!(
+    /// Name of an availability zone.
+    Zone
+);
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number_type!(
+    /// Index of a leaf in this process's leaf arena. Stays valid for the life of the process.
+    LeafKey(u32)
+);
+number_type!(
+    /// Number of a shard within one version of an index.
+    ShardNo(u16)
+);
+number_type!(
+    /// Version of an index. A shard number has a meaning only together with it.
+    IndexVersion(u64)
+);
+number_type!(
+    /// Revision of a value published by the configuration service. Higher is newer.
+    Revision(u64)
+);
+number_type!(
+    /// Number of a leaf call within its query; never used twice in one query.
+    Attempt(u32)
+);
+number_type!(
+    /// Random number that tells one run of a process from the next on the same host.
+    Incarnation(u64)
+);
+
+/// Identifies one query over all hosts and process runs.
+#[derive(
+    Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+)]
+pub struct QueryId {
+    /// The process run that owns the query.
+    pub incarnation: Incarnation,
+    /// Sequence number within that run.
+    pub number: u64,
+}
+
+impl fmt::Display for QueryId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}-{:x}", self.incarnation.0, self.number)
+    }
+}
+
+impl FromStr for QueryId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let error = || IdError::QueryId(text.to_owned());
+        let (incarnation, number) = text.split_once('-').ok_or_else(error)?;
+        let incarnation = u64::from_str_radix(incarnation, 16).map_err(|_| error())?;
+        let number = u64::from_str_radix(number, 16).map_err(|_| error())?;
+        Ok(Self { incarnation: Incarnation(incarnation), number })
+    }
+}
