lib: the way of a query from caller to leafs and back

The query machine, gate, limits, quarantine and ledger take the time as an argument; front and call run them on sockets.

--- /dev/null
+++ b/lib/src/call.rs
@@ -0,0 +1,408 @@
+//! One leaf call: waits for a slot, takes a connection, exchanges, and charges the effort.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::backend::BackendError;
+use crate::backend::LeafConnection;
+use crate::catalogue::Entry;
+use crate::events::Event;
+use crate::gate::Admission;
+use crate::gate::CallEnd;
+use crate::ids::Attempt;
+use crate::latency::LatencyTracker;
+use crate::leaf::Leaf;
+use crate::leaf_protocol::CANCEL_PATH;
+use crate::leaf_protocol::CallId;
+use crate::leaf_protocol::LeafAnswer;
+use crate::leaf_protocol::LeafRequest;
+use crate::leaf_protocol::LeafStatus;
+use crate::leaf_protocol::SEARCH_PATH;
+use crate::ledger::Charge;
+use crate::ledger::Effort;
+use crate::pool::Acquired;
+use crate::query::Loss;
+use crate::query::SendCall;
+use crate::tier::CONNECT_LIMIT;
+use crate::tier::EntryState;
+use crate::tier::Tier;
+
+/// How long a cancelled call may still answer before its connection is closed.
+const CANCEL_GRACE: Duration = Duration::from_millis(300);
+
+const WAITING: u8 = 0;
+const WRITTEN: u8 = 1;
+const WITHDRAWN: u8 = 2;
+
+/// What a cancellation achieved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cancelled {
+    /// No byte of the call was or will be written.
+    Withdrawn,
+    /// The call may have run or may still run.
+    MayHaveRun,
+}
+
+/// Lets the owner of a query cancel one call.
+#[derive(Debug, Default)]
+pub struct CallControl {
+    phase: AtomicU8,
+    cancelled: Notify,
+}
+
+impl CallControl {
+    /// Cancels the call.
+    pub fn cancel(&self) -> Cancelled {
+        let withdrawn = self.move_from_waiting(WITHDRAWN);
+        self.cancelled.notify_one();
+        if withdrawn { Cancelled::Withdrawn } else { Cancelled::MayHaveRun }
+    }
+
+    /// Marks the call as written; fails if it was withdrawn.
+    fn begin_write(&self) -> bool {
+        self.move_from_waiting(WRITTEN)
+    }
+
+    fn move_from_waiting(&self, to: u8) -> bool {
+        self.phase.compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
+/// What a call tells the owner of its query.
+#[derive(Debug)]
+pub enum CallEvent {
+    /// The leaf answered.
+    Answered(Attempt, LeafAnswer),
+    /// The call ended without a usable answer.
+    Lost(Attempt, Loss),
+}
+
+/// What the calls of one query have in common.
+pub struct CallContext {
+    /// The shared tables.
+    pub tier: Arc<Tier>,
+    /// The entry that is charged.
+    pub entry: Arc<Entry>,
+    /// The entry's tables.
+    pub entry_state: Arc<EntryState>,
+    /// The index's learned latency.
+    pub latency: Arc<std::sync::Mutex<LatencyTracker>>,
+    /// The caller's parameters.
+    pub params: Box<RawValue>,
+    /// When the answer is of no more use.
+    pub deadline: Instant,
+    /// Where the end of each call is told.
+    pub events: mpsc::UnboundedSender<CallEvent>,
+}
+
+/// One call in progress.
+pub struct Call {
+    /// What it has in common with the query's other calls.
+    pub cx: Arc<CallContext>,
+    /// The leaf.
+    pub leaf: Arc<Leaf>,
+    /// What to send.
+    pub send: SendCall,
+    /// Cancels the call.
+    pub control: Arc<CallControl>,
+}
+
+/// How a call that had a slot ended.
+enum Ended {
+    /// Withdrawn by its owner; nobody waits for it.
+    Withdrawn,
+    Lost(Loss, Effort),
+    Answered(LeafAnswer),
+}
+
+impl Call {
+    /// Runs the call to its end.
+    pub async fn run(self) {
+        let ended = match self.wait_for_slot().await {
+            Ok(()) => self.run_in_slot().await,
+            Err(ended) => ended,
+        };
+        self.tell(ended);
+    }
+
+    fn tell(&self, ended: Ended) {
+        let attempt = self.send.call.attempt;
+        let (effort, event) = match ended {
+            Ended::Withdrawn => return self.cx.tier.counters.withdrawn.increment(),
+            Ended::Lost(loss, effort) => (effort, CallEvent::Lost(attempt, loss)),
+            Ended::Answered(answer) => {
+                let effort = Effort::Reported(answer.effort_us);
+                (effort, CallEvent::Answered(attempt, answer))
+            }
+        };
+        let charge = Charge { purpose: self.send.purpose, effort };
+        self.cx.tier.charge(&self.cx.entry, &self.cx.entry_state, charge, Instant::now());
+        // The query may be over; its owner no longer listens then.
+        let _ = self.cx.events.send(event);
+    }
+
+    async fn wait_for_slot(&self) -> Result<(), Ended> {
+        let now = Instant::now();
+        let (token, mut granted) = oneshot::channel();
+        let admission = {
+            let mut state = self.leaf.state();
+            let service = state.belief.service();
+            state.gate.enter(self.cx.entry.class, self.cx.deadline, service, now, token)
+        };
+        match admission {
+            Admission::Admitted => return Ok(()),
+            Admission::Refused => return Err(Ended::Lost(Loss::NoSlot, Effort::None)),
+            Admission::Queued => {}
+        }
+        tokio::select! {
+            result = &mut granted => {
+                result.map_err(|_| Ended::Lost(Loss::NoSlot, Effort::None))
+            }
+            () = self.control.cancelled.notified() => {
+                granted.close();
+                if granted.try_recv().is_ok() {
+                    leave(&self.leaf, CallEnd::Other);
+                }
+                Err(Ended::Withdrawn)
+            }
+        }
+    }
+
+    async fn run_in_slot(&self) -> Ended {
+        let (ended, call_end) = match self.take_connection().await {
+            Ok(conn) => self.run_on(conn).await,
+            Err(ended) => (ended, CallEnd::Other),
+        };
+        leave(&self.leaf, call_end);
+        ended
+    }
+
+    async fn take_connection(&self) -> Result<Box<dyn LeafConnection>, Ended> {
+        let not_sent = || Ended::Lost(Loss::NotSent, Effort::None);
+        match self.leaf.pool.acquire() {
+            Acquired::Idle(conn) => Ok(conn),
+            Acquired::Full => Err(not_sent()),
+            Acquired::MayOpen => self.open_connection().await.map_err(|e| {
+                self.note_loss(&e);
+                not_sent()
+            }),
+        }
+    }
+
+    async fn open_connection(&self) -> Result<Box<dyn LeafConnection>, BackendError> {
+        let remaining = self.cx.deadline.saturating_duration_since(Instant::now());
+        let tier = &self.cx.tier;
+        tier.counters.connects.increment();
+        let opening = tier.backend.connect(self.leaf.host.addr, remaining.min(CONNECT_LIMIT));
+        // The count of open connections must be right even when this future is dropped.
+        let mut opened = OpenGuard { leaf: &self.leaf, kept: false };
+        let result = opening.await;
+        opened.kept = result.is_ok();
+        if result.is_err() {
+            tier.counters.connect_failures.increment();
+        }
+        result
+    }
+
+    /// Checks the clock next to the write, since the process may have been paused until now.
+    async fn run_on(&self, conn: Box<dyn LeafConnection>) -> (Ended, CallEnd) {
+        let now = Instant::now();
+        if now >= self.cx.deadline {
+            self.leaf.pool.put_back(conn);
+            return (Ended::Lost(Loss::NoSlot, Effort::None), CallEnd::Other);
+        }
+        if !self.control.begin_write() {
+            self.leaf.pool.put_back(conn);
+            return (Ended::Withdrawn, CallEnd::Other);
+        }
+        self.exchange(conn, now).await
+    }
+
+    async fn exchange(&self, conn: Box<dyn LeafConnection>, started: Instant) -> (Ended, CallEnd) {
+        let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
+        let result = self.exchange_or_cancel(held.conn(), started).await;
+        let now = Instant::now();
+        let elapsed = now.saturating_duration_since(started);
+        match result {
+            Some(Ok(body)) => match LeafAnswer::parse(&body) {
+                Ok(answer) if answer.call == self.send.call => {
+                    held.put_back();
+                    let call_end = self.note_answer(&answer, elapsed, now);
+                    (Ended::Answered(answer), call_end)
+                }
+                _ => {
+                    self.cx.tier.counters.strays.increment();
+                    let effort = Effort::Estimated(elapsed.as_micros() as u64);
+                    (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
+                }
+            },
+            Some(Err(e)) => {
+                let loss = if e.proves_not_sent() { Loss::NotSent } else { Loss::Broken };
+                let effort = match loss {
+                    Loss::NotSent => Effort::None,
+                    _ => Effort::Estimated(elapsed.as_micros() as u64),
+                };
+                self.note_loss(&e);
+                (Ended::Lost(loss, effort), CallEnd::Other)
+            }
+            None => {
+                self.note_unanswered(elapsed, now);
+                let effort = Effort::Estimated(elapsed.as_micros() as u64);
+                (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
+            }
+        }
+    }
+
+    /// Returns nothing when the call was cancelled and the leaf did not answer in time.
+    async fn exchange_or_cancel(
+        &self,
+        conn: &mut Box<dyn LeafConnection>,
+        started: Instant,
+    ) -> Option<Result<Bytes, BackendError>> {
+        let body = self.body(started);
+        let mut exchange = conn.exchange(SEARCH_PATH, body);
+        tokio::select! {
+            biased;
+            result = &mut exchange => return Some(result),
+            () = self.control.cancelled.notified() => {}
+        }
+        self.cx.tier.counters.cancels.increment();
+        self.note_unanswered(started.elapsed(), Instant::now());
+        let told = self.tell_leaf_to_cancel();
+        let answered = tokio::time::timeout(CANCEL_GRACE, &mut exchange);
+        let ((), answered) = futures_util::future::join(told, answered).await;
+        answered.ok()
+    }
+
+    fn body(&self, now: Instant) -> Bytes {
+        let remaining = self.cx.deadline.saturating_duration_since(now);
+        let request = LeafRequest {
+            call: self.send.call,
+            index: &self.cx.entry.index,
+            kind: &self.cx.entry.kind,
+            idempotent: self.cx.entry.idempotent,
+            remaining_ms: remaining.as_millis() as u64,
+            params: &self.cx.params,
+        };
+        to_json(&request)
+    }
+
+    /// Cancels on another connection, so that this one can be used again. Best effort.
+    async fn tell_leaf_to_cancel(&self) {
+        let conn = match self.leaf.pool.acquire() {
+            Acquired::Idle(conn) => Some(conn),
+            Acquired::MayOpen => self.open_connection().await.ok(),
+            Acquired::Full => None,
+        };
+        let Some(conn) = conn else { return };
+        let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
+        let cancel = held.conn().exchange(CANCEL_PATH, to_json::<CallId>(&self.send.call));
+        if let Ok(Ok(_)) = tokio::time::timeout(CANCEL_GRACE, cancel).await {
+            held.put_back();
+        }
+    }
+
+    fn note_answer(&self, answer: &LeafAnswer, elapsed: Duration, now: Instant) -> CallEnd {
+        let mut state = self.leaf.state();
+        match answer.status {
+            LeafStatus::Shed => {
+                state.belief.shed();
+                self.cx.tier.counters.sheds.increment();
+                return CallEnd::Shed;
+            }
+            LeafStatus::Draining => {
+                state.belief.said_draining(now);
+                return CallEnd::Other;
+            }
+            LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
+                return CallEnd::Other;
+            }
+            LeafStatus::Ok | LeafStatus::Failed => state.belief.answered(elapsed, answer.queued),
+        }
+        drop(state);
+        self.cx.latency.lock().unwrap().record(elapsed, now);
+        CallEnd::Answered
+    }
+
+    fn note_unanswered(&self, elapsed: Duration, now: Instant) {
+        self.leaf.state().belief.unanswered(elapsed);
+        self.cx.latency.lock().unwrap().record(elapsed, now);
+    }
+
+    fn note_loss(&self, error: &BackendError) {
+        let counters = &self.cx.tier.counters;
+        if !error.proves_not_sent() {
+            counters.broken.increment();
+        }
+        let ejected = self.leaf.state().belief.lost(Instant::now());
+        if ejected {
+            counters.ejections.increment();
+            Event::LeafEjected.warn(&format!("leaf {}: {error}", self.leaf.host.name));
+        }
+    }
+}
+
+/// Gives a slot back and wakes the waiters that get one.
+fn leave(leaf: &Leaf, end: CallEnd) {
+    let now = Instant::now();
+    let mut admitted = leaf.state().gate.leave(end, now);
+    while let Some(token) = admitted.pop() {
+        if token.send(()).is_err() {
+            admitted.extend(leaf.state().gate.leave(CallEnd::Other, now));
+        }
+    }
+}
+
+fn to_json<T: Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value).expect("message types serialise").into()
+}
+
+/// Counts a connection as closed unless it was kept.
+struct OpenGuard<'a> {
+    leaf: &'a Leaf,
+    kept: bool,
+}
+
+impl Drop for OpenGuard<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.leaf.pool.closed();
+        }
+    }
+}
+
+/// A connection in use. Closed when dropped, unless its exchange finished cleanly.
+struct HeldConnection<'a> {
+    leaf: &'a Leaf,
+    conn: Option<Box<dyn LeafConnection>>,
+}
+
+impl HeldConnection<'_> {
+    fn conn(&mut self) -> &mut Box<dyn LeafConnection> {
+        self.conn.as_mut().expect("the connection is held until it is put back")
+    }
+
+    fn put_back(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            self.leaf.pool.put_back(conn);
+        }
+    }
+}
+
+impl Drop for HeldConnection<'_> {
+    fn drop(&mut self) {
+        if self.conn.take().is_some() {
+            self.leaf.pool.closed();
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/leaf.rs
@@ -0,0 +1,205 @@
+//! One leaf as this process knows it, and the table of all of them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use crate::belief::Belief;
+use crate::belief::Usability;
+use crate::budget::ExtraLoadBudget;
+use crate::catalogue::Class;
+use crate::gate::Gate;
+use crate::hosts::HostList;
+use crate::hosts::HostState;
+use crate::hosts::LeafHost;
+use crate::ids::LeafKey;
+use crate::ids::Zone;
+use crate::pool::Pool;
+use crate::query::Choice;
+use crate::query::Purpose;
+
+/// Retries that a leaf's failures may cause, as a share of the calls to it.
+const LEAF_RETRY_SHARE: f64 = 0.2;
+/// Cost added to a replica in another zone, so that near equals stay local.
+const REMOTE_ZONE_COST: Duration = Duration::from_millis(1);
+
+/// Wakes a call that waits for a slot. Dropping it refuses the call.
+pub type SlotToken = oneshot::Sender<()>;
+
+/// The part of a leaf that calls change.
+#[derive(Debug)]
+pub struct LeafState {
+    /// The queue in front of the leaf.
+    pub gate: Gate<SlotToken>,
+    /// What was observed.
+    pub belief: Belief,
+    /// Retries that this leaf's failures may cause.
+    pub retries: ExtraLoadBudget,
+}
+
+/// One leaf. Lock order: `state` before the pool's own lock; never two leafs' states at once.
+#[derive(Debug)]
+pub struct Leaf {
+    /// The leaf's key.
+    pub key: LeafKey,
+    /// What the host list says of it.
+    pub host: LeafHost,
+    /// Connections to it.
+    pub pool: Pool,
+    state: Mutex<LeafState>,
+}
+
+impl Leaf {
+    /// Makes a leaf that was never called. `share` is this host's part of its connections.
+    pub fn new(key: LeafKey, host: LeafHost, share: u32) -> Self {
+        let state = LeafState {
+            gate: Gate::new(share.min(host.slots)),
+            belief: Belief::default(),
+            retries: ExtraLoadBudget::default(),
+        };
+        Self { key, pool: Pool::new(share), host, state: Mutex::new(state) }
+    }
+
+    /// Locks the part that calls change.
+    pub fn state(&self) -> MutexGuard<'_, LeafState> {
+        self.state.lock().unwrap()
+    }
+
+    fn update(&self, host: &LeafHost, share: u32) {
+        self.pool.set_limit(share);
+        let mut state = self.state();
+        state.gate.set_max_window(share.min(host.slots));
+        state.belief.listed(host.state == HostState::Leaving);
+    }
+
+    /// Earns retry credit for a call made to this leaf.
+    pub fn count_call(&self) {
+        self.state().retries.earn(1, LEAF_RETRY_SHARE);
+    }
+}
+
+/// All listed leafs by key. Immutable; the leafs themselves are shared between versions.
+#[derive(Clone, Debug, Default)]
+pub struct LeafTable {
+    leafs: Vec<Option<Arc<Leaf>>>,
+}
+
+impl LeafTable {
+    /// Makes the table for a host list, keeping the leafs whose address did not change.
+    pub fn next(&self, hosts: &HostList) -> Self {
+        let size = hosts.leafs().map(|(key, _)| key.0 as usize + 1).max().unwrap_or(0);
+        let mut leafs = vec![None; size];
+        let daemons = hosts.daemons.len().max(1) as u32;
+        for (key, host) in hosts.leafs() {
+            let share = (host.connections / daemons).max(1);
+            let known = self.get(key).filter(|leaf| leaf.host.addr == host.addr);
+            let leaf = match known {
+                Some(leaf) => leaf.clone(),
+                None => Arc::new(Leaf::new(key, host.clone(), share)),
+            };
+            leaf.update(host, share);
+            leafs[key.0 as usize] = Some(leaf);
+        }
+        Self { leafs }
+    }
+
+    /// Finds a leaf.
+    pub fn get(&self, key: LeafKey) -> Option<&Arc<Leaf>> {
+        self.leafs.get(key.0 as usize)?.as_ref()
+    }
+
+    /// Whether a leaf is listed and may get a call.
+    pub fn is_usable(&self, key: LeafKey, now: Instant) -> bool {
+        self.get(key).is_some_and(|leaf| leaf.state().belief.usability(now) == Usability::Usable)
+    }
+
+    /// Returns all leafs ordered by key.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Leaf>> {
+        self.leafs.iter().flatten()
+    }
+
+    /// Picks the replica with the least expected time, among local and usable ones if possible.
+    ///
+    /// Ejection is ignored when it would leave less than half of the replicas.
+    pub fn choose(&self, zone: &Zone, class: Class, choosing: Choosing<'_>) -> Option<Choice> {
+        let mut best: Option<Candidate> = None;
+        let mut ejected_best: Option<Candidate> = None;
+        let (mut usable, mut ejected) = (0, 0);
+        for &key in choosing.replicas {
+            let Some(leaf) = self.get(key) else { continue };
+            let Some(candidate) = choosing.candidate(leaf, zone, class) else { continue };
+            if candidate.ejected {
+                ejected += 1;
+                keep_cheaper(&mut ejected_best, candidate);
+            } else {
+                usable += 1;
+                keep_cheaper(&mut best, candidate);
+            }
+        }
+        if usable == 0 && choosing.purpose != Purpose::Hedge || ejected > usable + 1 {
+            best = best.or(ejected_best);
+        }
+        best.map(|c| Choice { leaf: c.leaf, wait: c.wait })
+    }
+}
+
+/// The replicas to choose from.
+#[derive(Clone, Copy, Debug)]
+pub struct Choosing<'a> {
+    /// The leafs that hold the shard.
+    pub replicas: &'a [LeafKey],
+    /// Leafs that were called for this shard already.
+    pub tried: &'a [LeafKey],
+    /// Why a call is made.
+    pub purpose: Purpose,
+    /// The present time.
+    pub now: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    leaf: LeafKey,
+    wait: Duration,
+    cost: Duration,
+    ejected: bool,
+}
+
+fn keep_cheaper(best: &mut Option<Candidate>, candidate: Candidate) {
+    if best.is_none_or(|b| candidate.cost < b.cost) {
+        *best = Some(candidate);
+    }
+}
+
+impl Choosing<'_> {
+    fn candidate(&self, leaf: &Leaf, zone: &Zone, class: Class) -> Option<Candidate> {
+        let was_tried = self.tried.contains(&leaf.key);
+        let state = leaf.state();
+        let usability = state.belief.usability(self.now);
+        let is_hedge = self.purpose == Purpose::Hedge;
+        if usability == Usability::Draining {
+            return None;
+        }
+        if is_hedge && (was_tried || !state.gate.is_free(class)) {
+            return None;
+        }
+        let service = state.belief.service();
+        let wait = state.gate.wait(class, service) + service;
+        let load = f64::from(state.gate.in_flight()) + 1.0;
+        let mut cost = state.gate.wait(class, service) + state.belief.cost().mul_f64(load);
+        if leaf.host.zone != *zone {
+            cost += REMOTE_ZONE_COST;
+        }
+        if was_tried {
+            cost += Duration::from_secs(60);
+        }
+        cost = cost.mul_f64(rand::rng().random_range(0.9..1.1));
+        let ejected = usability == Usability::Ejected
+            || (state.belief.is_on_probe() && state.gate.in_flight() > 0);
+        Some(Candidate { leaf: leaf.key, wait, cost, ejected })
+    }
+}
--- /dev/null
+++ b/lib/src/pool.rs
@@ -0,0 +1,96 @@
+//! Idle connections to one leaf, within this host's share of its connection limit.
+//!
+//! Invariant: connections open at once never exceed the limit in force when they were opened.
+
+use std::sync::Mutex;
+
+use crate::backend::LeafConnection;
+
+#[derive(Debug, Default)]
+struct PoolState {
+    idle: Vec<IdleConnection>,
+    open: u32,
+    limit: u32,
+}
+
+struct IdleConnection(Box<dyn LeafConnection>);
+
+impl std::fmt::Debug for IdleConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("IdleConnection")
+    }
+}
+
+/// What a call gets from the pool.
+pub enum Acquired {
+    /// An idle connection.
+    Idle(Box<dyn LeafConnection>),
+    /// Leave to open a connection; it must be given back by `put_back` or `closed`.
+    MayOpen,
+    /// The limit is reached.
+    Full,
+}
+
+/// The connections to one leaf.
+#[derive(Debug)]
+pub struct Pool {
+    state: Mutex<PoolState>,
+}
+
+impl Pool {
+    /// Makes an empty pool for at most `limit` connections.
+    pub fn new(limit: u32) -> Self {
+        Self { state: Mutex::new(PoolState { limit: limit.max(1), ..PoolState::default() }) }
+    }
+
+    /// Changes the limit; idle connections above it are closed, busy ones when they come back.
+    pub fn set_limit(&self, limit: u32) {
+        let mut state = self.state.lock().unwrap();
+        state.limit = limit.max(1);
+        while state.open > state.limit && state.idle.pop().is_some() {
+            state.open -= 1;
+        }
+    }
+
+    /// Takes an idle connection, or leave to open one.
+    pub fn acquire(&self) -> Acquired {
+        let mut state = self.state.lock().unwrap();
+        while let Some(IdleConnection(conn)) = state.idle.pop() {
+            if conn.is_usable() {
+                return Acquired::Idle(conn);
+            }
+            state.open -= 1;
+        }
+        if state.open < state.limit {
+            state.open += 1;
+            Acquired::MayOpen
+        } else {
+            Acquired::Full
+        }
+    }
+
+    /// Gives back a connection whose exchange finished cleanly.
+    pub fn put_back(&self, conn: Box<dyn LeafConnection>) {
+        let mut state = self.state.lock().unwrap();
+        if state.open > state.limit || !conn.is_usable() {
+            state.open -= 1;
+        } else {
+            state.idle.push(IdleConnection(conn));
+        }
+    }
+
+    /// Records that a connection was closed or could not be opened.
+    pub fn closed(&self) {
+        self.state.lock().unwrap().open -= 1;
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> u32 {
+        self.state.lock().unwrap().open
+    }
+
+    /// Returns the limit.
+    pub fn limit(&self) -> u32 {
+        self.state.lock().unwrap().limit
+    }
+}
--- /dev/null
+++ b/lib/src/server.rs
@@ -0,0 +1,188 @@
+//! HTTP routes of a daemon, on `xitca-web`.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::body::ResponseBody;
+use xitca_web::bytes::BytesMut;
+use xitca_web::handler::body::Limit;
+use xitca_web::handler::handler_service;
+use xitca_web::http::HeaderValue;
+use xitca_web::http::Method;
+use xitca_web::http::StatusCode;
+use xitca_web::http::WebResponse;
+use xitca_web::http::header;
+
+use crate::answer::OutcomeKind;
+use crate::answer::QueryAnswer;
+use crate::answer::QueryRequest;
+use crate::answer::Reason;
+use crate::client_watch::WatchedListener;
+use crate::daemon::Daemon;
+use crate::lifecycle::Phase;
+
+/// The largest body of a request, in bytes.
+pub const MAX_REQUEST_BYTES: usize = 1 << 20;
+/// Wait named to callers of a daemon that takes no queries.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// Longest time for the HTTP library to finish its connections, in seconds.
+const SERVER_STOP_SECONDS: u64 = 5;
+
+/// Path of a query.
+pub const QUERY_PATH: &str = "/query";
+/// Path of the state dump.
+pub const STATE_PATH: &str = "/state";
+/// Path of the charges.
+pub const CHARGES_PATH: &str = "/charges";
+/// Path that answers 200 while the process runs.
+pub const LIVE_PATH: &str = "/health/live";
+/// Path that answers 200 while the process takes queries.
+pub const READY_PATH: &str = "/health/ready";
+
+/// A running server.
+pub type ServerFuture = xitca_server::ServerFuture;
+
+/// Starts the server on a bound socket. Must be called outside of an async runtime.
+pub fn serve(daemon: Arc<Daemon>, listener: TcpListener) -> io::Result<ServerFuture> {
+    let workers = daemon.settings.workers;
+    let clients = daemon.clients.clone();
+    let app = App::new()
+        .with_state(daemon)
+        .at("/", handler_service(dispatch))
+        .at("/{*path}", handler_service(dispatch));
+    let server = app
+        .serve()
+        .disable_signal()
+        .worker_threads(workers)
+        .keep_alive_timeout(Duration::from_secs(75))
+        .listen(WatchedListener { listener, clients })?;
+    let _ = SERVER_STOP_SECONDS;
+    Ok(server.run())
+}
+
+type Context<'r> = WebContext<'r, Arc<Daemon>>;
+
+/// An answer on its way out.
+pub struct Reply {
+    status: u16,
+    content_type: &'static str,
+    body: Vec<u8>,
+    retry_after: Option<Duration>,
+    signature: Option<String>,
+}
+
+impl Reply {
+    /// Makes an answer in JSON.
+    pub fn json<T: Serialize>(status: u16, value: &T) -> Self {
+        let body = serde_json::to_vec(value).expect("message types serialise");
+        let content_type = "application/json";
+        Self { status, content_type, body, retry_after: None, signature: None }
+    }
+
+    /// Makes an answer of encoded bytes with a signature.
+    pub fn signed(body: Vec<u8>, signature: String) -> Self {
+        let content_type = "application/msgpack";
+        Self { status: 200, content_type, body, retry_after: None, signature: Some(signature) }
+    }
+
+    /// Makes an answer without a body.
+    pub fn empty(status: u16) -> Self {
+        let content_type = "text/plain";
+        Self { status, content_type, body: Vec::new(), retry_after: None, signature: None }
+    }
+
+    fn query(answer: &QueryAnswer) -> Self {
+        let retry_after = answer.refusal.as_ref().and_then(|r| r.retry_after);
+        Self { retry_after, ..Self::json(answer.status(), answer) }
+    }
+
+    fn refusal(status: u16, message: String) -> Self {
+        let answer = QueryAnswer::refused(Reason::BadRequest, message, None);
+        Self::json(status, &answer)
+    }
+
+    fn into_response(self, closing: bool) -> WebResponse {
+        let mut response = WebResponse::new(ResponseBody::from(self.body));
+        *response.status_mut() =
+            StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(self.content_type));
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_millis().div_ceil(1_000) as u64;
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if let Some(signature) = self.signature.and_then(|s| HeaderValue::try_from(s).ok()) {
+            headers.insert(crate::http_client::SIGNATURE_HEADER, signature);
+        }
+        if closing {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+async fn dispatch(cx: &Context<'_>) -> WebResponse {
+    let daemon = cx.state().clone();
+    let reply = route(cx, &daemon).await;
+    reply.into_response(daemon.lifecycle.phase() == Phase::Leaving)
+}
+
+async fn route(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
+    let path = cx.req().uri().path();
+    let allowed = match path {
+        QUERY_PATH => Method::POST,
+        STATE_PATH | CHARGES_PATH | LIVE_PATH | READY_PATH => Method::GET,
+        _ => return Reply::refusal(404, format!("Path \"{path}\" does not exist")),
+    };
+    let method = cx.req().method();
+    if *method != allowed {
+        return Reply::refusal(405, format!("Path \"{path}\" takes {allowed}, not {method}"));
+    }
+    match path {
+        QUERY_PATH => query(cx, daemon).await,
+        STATE_PATH => Reply::json(200, &daemon.dump(Instant::now())),
+        CHARGES_PATH => Reply::json(200, &daemon.tier.ledger.lock().unwrap().lines()),
+        READY_PATH if daemon.lifecycle.phase() != Phase::Ready => Reply::empty(503),
+        _ => Reply::empty(200),
+    }
+}
+
+async fn query(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
+    let arrived = Instant::now();
+    let body = match read_body(cx).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    let req: QueryRequest = match serde_json::from_slice(&body) {
+        Ok(req) => req,
+        Err(e) => return Reply::refusal(400, format!("Query does not parse: {e}")),
+    };
+    let _in_progress = match daemon.lifecycle.begin(arrived) {
+        Ok(guard) => guard,
+        Err(phase) => return Reply::query(&not_ready(daemon, phase)),
+    };
+    let gone = daemon.clients.gone(*cx.req().body().socket_addr());
+    Reply::query(&daemon.answer(&req, arrived, gone).await)
+}
+
+fn not_ready(daemon: &Daemon, phase: Phase) -> QueryAnswer {
+    let host = &daemon.settings.host;
+    let message = format!("Host \"{host}\" is {} and takes no queries", phase.name());
+    QueryAnswer::without_hits(OutcomeKind::NotRun, Reason::NotReady, message, Some(NOT_READY_RETRY))
+}
+
+async fn read_body(cx: &Context<'_>) -> Result<BytesMut, Reply> {
+    match cx.extract::<(BytesMut, Limit<MAX_REQUEST_BYTES>)>().await {
+        Ok((body, _)) => Ok(body),
+        Err(_) => {
+            let message = format!("Body could not be read within {MAX_REQUEST_BYTES} bytes");
+            Err(Reply::refusal(413, message))
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/tier.rs
@@ -0,0 +1,164 @@
+//! The tables that all workers of one process share.
+//!
+//! Lock order: `view`, then `entries`, then one entry's tables, then `indexes`, then a leaf's state,
+//! then `quarantine`, then `ledger`. No lock is held across an await.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::backend::LeafBackend;
+use crate::budget::ExtraLoadBudget;
+use crate::catalogue::Entry;
+use crate::counters::Counters;
+use crate::hosts::LeafRegistry;
+use crate::ids::EntryName;
+use crate::ids::HostName;
+use crate::ids::Incarnation;
+use crate::ids::IndexName;
+use crate::ids::QueryId;
+use crate::ids::Zone;
+use crate::latency::LatencyTracker;
+use crate::ledger::Charge;
+use crate::ledger::Effort;
+use crate::ledger::Ledger;
+use crate::limits::EntryLimits;
+use crate::limits::HostShare;
+use crate::publication::Document;
+use crate::publication::Result;
+use crate::publication::View;
+use crate::quarantine::Quarantine;
+
+/// Who this process is.
+#[derive(Clone, Debug, Serialize)]
+pub struct Identity {
+    /// The host's name.
+    pub host: HostName,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+}
+
+/// What this process keeps for one entry, over revisions of the catalogue.
+#[derive(Debug)]
+pub struct EntryState {
+    /// Use of the entry's limits.
+    pub limits: Mutex<EntryLimits>,
+    /// Credit for hedges and retries.
+    pub extra_load: Mutex<ExtraLoadBudget>,
+}
+
+/// The shared tables.
+pub struct Tier {
+    /// Who this process is.
+    pub identity: Identity,
+    /// Counters.
+    pub counters: Counters,
+    /// Suspected requests.
+    pub quarantine: Mutex<Quarantine>,
+    /// Charges.
+    pub ledger: Mutex<Ledger>,
+    /// Opens connections to leafs.
+    pub backend: Box<dyn LeafBackend>,
+    view: RwLock<Arc<View>>,
+    registry: LeafRegistry,
+    entries: Mutex<HashMap<EntryName, Arc<EntryState>>>,
+    indexes: Mutex<HashMap<IndexName, Arc<Mutex<LatencyTracker>>>>,
+    next_query: AtomicU64,
+}
+
+impl Tier {
+    /// Makes tables with nothing published yet.
+    pub fn new(identity: Identity, backend: Box<dyn LeafBackend>) -> Self {
+        Self {
+            identity,
+            counters: Counters::default(),
+            quarantine: Mutex::default(),
+            ledger: Mutex::default(),
+            backend,
+            view: RwLock::default(),
+            registry: LeafRegistry::default(),
+            entries: Mutex::default(),
+            indexes: Mutex::default(),
+            next_query: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns what is in force now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.read().unwrap().clone()
+    }
+
+    /// Puts a document in force, or says why not.
+    pub fn publish(&self, document: Document) -> Result<Arc<View>> {
+        let mut view = self.view.write().unwrap();
+        let next = Arc::new(view.next(document, &self.registry)?);
+        *view = next.clone();
+        Ok(next)
+    }
+
+    /// Returns a query id that this process never used before.
+    pub fn next_query_id(&self) -> QueryId {
+        let number = self.next_query.fetch_add(1, Ordering::Relaxed);
+        QueryId { incarnation: self.identity.incarnation, number }
+    }
+
+    /// Returns the tables of an entry, made on first use with nothing of its limits.
+    pub fn entry_state(&self, entry: &Entry, now: Instant) -> Arc<EntryState> {
+        let mut entries = self.entries.lock().unwrap();
+        if let Some(state) = entries.get(&entry.name) {
+            return state.clone();
+        }
+        let share = HostShare::of(&entry.limits, 0.0);
+        let state = Arc::new(EntryState {
+            limits: Mutex::new(EntryLimits::new(share, now)),
+            extra_load: Mutex::default(),
+        });
+        entries.insert(entry.name.clone(), state.clone());
+        state
+    }
+
+    /// Returns the tables of all entries used so far.
+    pub fn entry_states(&self) -> Vec<(EntryName, Arc<EntryState>)> {
+        let entries = self.entries.lock().unwrap();
+        entries.iter().map(|(name, state)| (name.clone(), state.clone())).collect()
+    }
+
+    /// Returns the learned latency of an index.
+    pub fn latency(&self, index: &IndexName, now: Instant) -> Arc<Mutex<LatencyTracker>> {
+        let mut indexes = self.indexes.lock().unwrap();
+        if let Some(tracker) = indexes.get(index) {
+            return tracker.clone();
+        }
+        let tracker = Arc::new(Mutex::new(LatencyTracker::new(now)));
+        indexes.insert(index.clone(), tracker.clone());
+        tracker
+    }
+
+    /// Charges an ended call to its entry and takes its effort from the entry's limit.
+    pub fn charge(&self, entry: &Entry, state: &EntryState, charge: Charge, now: Instant) {
+        if let Effort::Reported(us) | Effort::Estimated(us) = charge.effort {
+            state.limits.lock().unwrap().spend(us, now);
+        }
+        self.ledger.lock().unwrap().charge(&entry.owner, &entry.name, charge);
+    }
+
+    /// Returns a fresh incarnation.
+    pub fn new_incarnation() -> Incarnation {
+        Incarnation(rand::random())
+    }
+}
+
+/// Share of the extra-load budget's credit that hedges leave for retries, in calls.
+pub const RETRY_RESERVE_CALLS: f64 = 1.0;
+
+/// Longest time to open a connection to a leaf.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(500);
