--- /dev/null
+++ b/cli/src/commands/demo.rs
@@ -0,0 +1,201 @@
+//! `jasmineusher demo`: a platform, leafs and a daemon in one process, and some queries.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use gumdrop::Options;
+use hdrhistogram::Histogram;
+use jasmineusher_bench::fleet::Fleet;
+use jasmineusher_bench::fleet::FleetShape;
+use jasmineusher_bench::fleet::name;
+use jasmineusher_bench::leaf::Behaviour;
+use jasmineusher_bench::naive::NaiveFanOut;
+use jasmineusher_lib::answer::OutcomeKind;
+use jasmineusher_lib::answer::QueryAnswer;
+use jasmineusher_lib::daemon::RunningDaemon;
+use jasmineusher_lib::hosts::DaemonHost;
+use jasmineusher_lib::hosts::HostState;
+use jasmineusher_lib::http_client::HttpCall;
+use jasmineusher_lib::http_client::HttpClient;
+use jasmineusher_lib::lifecycle::Phase;
+use jasmineusher_lib::server::QUERY_PATH;
+use jasmineusher_lib::settings::RawSettings;
+use jasmineusher_lib::settings::Settings;
+use serde::Serialize;
+
+use super::CommandError;
+use super::Result;
+use super::charges::print_lines;
+use super::query::print_answer;
+
+/// The catalogue of the demo, which docs/CATALOGUE.md explains.
+const CATALOGUE: &str = include_str!("../../../docs/examples/lidwerk.toml");
+/// Queries per measurement.
+const QUERIES: usize = 400;
+/// Time between two queries, so that the leafs are not overloaded.
+const INTERVAL: Duration = Duration::from_millis(8);
+/// Time allowed for one query.
+const QUERY_LIMIT: Duration = Duration::from_secs(5);
+/// Time allowed for the daemon to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(5);
+
+/// Flags of `demo`.
+#[derive(Debug, Options)]
+pub struct DemoFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the figures as JSON")]
+    json: bool,
+}
+
+#[derive(Serialize)]
+struct Figures {
+    tier_p50_ms: f64,
+    tier_p99_ms: f64,
+    naive_p50_ms: f64,
+    naive_p99_ms: f64,
+    complete: usize,
+    queries: usize,
+    extra_calls_share: f64,
+}
+
+/// Runs the command.
+pub fn run(flags: DemoFlags) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new().map_err(other)?;
+    println!("Starting 30 leafs, one in 100 calls 30 times slow, a platform and a daemon ...");
+    let fleet = runtime.block_on(start_fleet())?;
+    let mut running = RunningDaemon::start(settings(&fleet)?).map_err(other)?;
+    fleet.list_daemon(DaemonHost {
+        name: running.daemon.settings.host.clone(),
+        addr: running.addr,
+        zone: running.daemon.settings.zone.clone(),
+        state: HostState::Live,
+    });
+    fleet.publish_hosts();
+    fleet.publish_catalogue(CATALOGUE);
+    wait_until_ready(&running)?;
+    show_answers(&runtime, running.addr)?;
+    println!("\nMeasuring {QUERIES} queries through the tier, then by naive fan-out ...");
+    let figures = runtime.block_on(measure(&fleet, &running))?;
+    print_figures(&figures);
+    println!("\nCharges:");
+    let lines = running.daemon.tier.ledger.lock().unwrap().lines();
+    print_lines(&lines);
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&figures).expect("figures serialise"));
+    }
+    running.stop();
+    Ok(if figures.complete == figures.queries { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn other(error: impl std::error::Error + Send + Sync + 'static) -> CommandError {
+    CommandError::Other(Box::new(error))
+}
+
+async fn start_fleet() -> Result<Fleet> {
+    let mut shape = FleetShape::careline();
+    shape.behaviour = Behaviour {
+        straggler_share: 0.01,
+        straggler_factor: 30.0,
+        connect: Duration::from_millis(5),
+        ..Behaviour::default()
+    };
+    let platform = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Fleet::start(shape, platform).await.map_err(other)
+}
+
+fn settings(fleet: &Fleet) -> Result<Settings> {
+    let raw = RawSettings {
+        listen: Some("127.0.0.1:0".to_owned()),
+        host: Some("demo".to_owned()),
+        zone: Some("muc-a".to_owned()),
+        platform: Some(fleet.platform.addr.to_string()),
+        workers: Some("2".to_owned()),
+        peer_keys: Some("demo-key-of-16-bytes".to_owned()),
+        ..RawSettings::default()
+    };
+    Settings::try_from(raw).map_err(other)
+}
+
+fn wait_until_ready(running: &RunningDaemon) -> Result<()> {
+    let give_up = Instant::now() + READY_LIMIT;
+    while running.daemon.lifecycle.phase() != Phase::Ready {
+        if Instant::now() > give_up {
+            let e = std::io::Error::new(std::io::ErrorKind::TimedOut, "Daemon is not ready");
+            return Err(other(e));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    Ok(())
+}
+
+fn show_answers(runtime: &tokio::runtime::Runtime, addr: SocketAddr) -> Result<()> {
+    let client = HttpClient::default();
+    for entry in ["symptom-lookup", "refill-check", "template-fetch"] {
+        println!("\nQuery of entry \"{entry}\":");
+        print_answer(&runtime.block_on(query(&client, addr, entry))?);
+    }
+    Ok(())
+}
+
+async fn query(client: &HttpClient, addr: SocketAddr, entry: &str) -> Result<QueryAnswer> {
+    let body = format!(r#"{{"entry":"{entry}","params":{{"text":"lifting"}},"hits":3}}"#);
+    let call = HttpCall::post(addr, QUERY_PATH, body.into(), QUERY_LIMIT);
+    let reply = client.call(call).await.map_err(CommandError::Daemon)?;
+    serde_json::from_slice(&reply.body).map_err(|source| CommandError::Answer { addr, source })
+}
+
+async fn measure(fleet: &Fleet, running: &RunningDaemon) -> Result<Figures> {
+    let client = HttpClient::default();
+    let mut tier = latencies();
+    let mut complete = 0;
+    for _ in 0..QUERIES {
+        let began = Instant::now();
+        let answer = query(&client, running.addr, "symptom-lookup").await?;
+        tier.saturating_record(began.elapsed().as_micros() as u64);
+        complete += usize::from(answer.outcome == OutcomeKind::Complete);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let naive_fan_out = NaiveFanOut::new(fleet, name("careline"));
+    let mut naive = latencies();
+    for _ in 0..QUERIES {
+        let began = Instant::now();
+        naive_fan_out.query(QUERY_LIMIT).await;
+        naive.saturating_record(began.elapsed().as_micros() as u64);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let counters = running.daemon.tier.counters.values();
+    Ok(Figures {
+        tier_p50_ms: milliseconds(&tier, 0.5),
+        tier_p99_ms: milliseconds(&tier, 0.99),
+        naive_p50_ms: milliseconds(&naive, 0.5),
+        naive_p99_ms: milliseconds(&naive, 0.99),
+        complete,
+        queries: QUERIES,
+        extra_calls_share: (counters.hedges + counters.retries) as f64
+            / counters.first_calls.max(1) as f64,
+    })
+}
+
+fn latencies() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("constant bounds are valid")
+}
+
+fn milliseconds(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+fn print_figures(figures: &Figures) {
+    println!("{:<16} {:>9} {:>9}", "", "P50 MS", "P99 MS");
+    println!("{:<16} {:>9.1} {:>9.1}", "jasmineusher", figures.tier_p50_ms, figures.tier_p99_ms);
+    println!("{:<16} {:>9.1} {:>9.1}", "naive fan-out", figures.naive_p50_ms, figures.naive_p99_ms);
+    println!(
+        "{} of {} answers complete; {:.1}% extra leaf calls",
+        figures.complete,
+        figures.queries,
+        figures.extra_calls_share * 100.0
+    );
+}
