query: count own picks while choosing, and move calls that still wait

Cause: choices of one fan-out were made before any of them entered a gate, so that several shards fell on one leaf; and the hedge timer counted the wait in our own queue, so that the extra-load budget went to calls that no leaf had seen. Now a fan-out counts its own picks, a call that waits is moved to a free replica (no extra load), and the delay runs from the write.

--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -34,7 +34,7 @@
 /// The catalogue of the demo, which docs/CATALOGUE.md explains.
 const CATALOGUE: &str = include_str!("../../../docs/examples/lidwerk.toml");
 /// Queries per measurement.
-const QUERIES: usize = 400;
+const QUERIES: usize = 250;
 /// Time between two queries, so that the leafs are not overloaded.
 const INTERVAL: Duration = Duration::from_millis(8);
 /// Time allowed for one query.
--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -125,6 +125,20 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Refusal {
+    /// Makes a refusal.
+    pub fn new(reason: Reason, message: impl Into<String>, retry_after: Option<Duration>) -> Self {
+        Self { reason, message: message.into(), retry_after }
+    }
+}
+
+impl From<Refusal> for QueryAnswer {
+    /// Makes the answer to a request that was refused before any of it ran.
+    fn from(refusal: Refusal) -> Self {
+        Self::without_hits(OutcomeKind::NotRun, refusal)
+    }
+}
+
 /// The answer to a caller: the body of each response of `POST /query`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct QueryAnswer {
@@ -152,22 +166,8 @@
 }
 
 impl QueryAnswer {
-    /// Makes the answer to a request that was refused before any of it ran.
-    pub fn refused(
-        reason: Reason,
-        message: impl Into<String>,
-        retry_after: Option<Duration>,
-    ) -> Self {
-        Self::without_hits(OutcomeKind::NotRun, reason, message, retry_after)
-    }
-
     /// Makes an answer without hits.
-    pub fn without_hits(
-        outcome: OutcomeKind,
-        reason: Reason,
-        message: impl Into<String>,
-        retry_after: Option<Duration>,
-    ) -> Self {
+    pub fn without_hits(outcome: OutcomeKind, refusal: Refusal) -> Self {
         Self {
             outcome,
             query: None,
@@ -176,7 +176,7 @@
             version: None,
             coverage: Coverage::default(),
             hits: Vec::new(),
-            refusal: Some(Refusal { reason, message: message.into(), retry_after }),
+            refusal: Some(refusal),
         }
     }
 
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -1,6 +1,7 @@
 //! One leaf call: waits for a slot, takes a connection, exchanges, and charges the effort.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -57,6 +58,7 @@
 #[derive(Debug, Default)]
 pub struct CallControl {
     phase: AtomicU8,
+    written_at: OnceLock<Instant>,
     cancelled: Notify,
 }
 
@@ -68,9 +70,27 @@
         if withdrawn { Cancelled::Withdrawn } else { Cancelled::MayHaveRun }
     }
 
+    /// Takes the call back if no byte was written.
+    pub fn withdraw(&self) -> bool {
+        let withdrawn = self.move_from_waiting(WITHDRAWN);
+        if withdrawn {
+            self.cancelled.notify_one();
+        }
+        withdrawn
+    }
+
+    /// Returns when a byte of the call may first have been written.
+    pub fn written_at(&self) -> Option<Instant> {
+        self.written_at.get().copied()
+    }
+
     /// Marks the call as written; fails if it was withdrawn.
-    fn begin_write(&self) -> bool {
-        self.move_from_waiting(WRITTEN)
+    fn begin_write(&self, now: Instant) -> bool {
+        let begun = self.move_from_waiting(WRITTEN);
+        if begun {
+            self.written_at.get_or_init(|| now);
+        }
+        begun
     }
 
     fn move_from_waiting(&self, to: u8) -> bool {
@@ -221,7 +241,7 @@
             self.leaf.pool.put_back(conn);
             return (Ended::Lost(Loss::NoSlot, Effort::None), CallEnd::Other);
         }
-        if !self.control.begin_write() {
+        if !self.control.begin_write(now) {
             self.leaf.pool.put_back(conn);
             return (Ended::Withdrawn, CallEnd::Other);
         }
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -1,5 +1,6 @@
 //! Answers callers: admits a query, pins a version, drives the query machine and its leaf calls.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use crate::answer::QueryAnswer;
 use crate::answer::QueryRequest;
 use crate::answer::Reason;
+use crate::answer::Refusal;
 use crate::call::Call;
 use crate::call::CallContext;
 use crate::call::CallControl;
@@ -80,7 +82,7 @@
         self.tier.counters.queries.increment();
         let answer = match self.admit(req, arrived) {
             Ok(admitted) => admitted.run(self, gone).await,
-            Err(refusal) => refusal,
+            Err(refusal) => QueryAnswer::from(refusal),
         };
         self.count(&answer);
         answer
@@ -96,15 +98,15 @@
         }
     }
 
-    fn admit(&self, req: &QueryRequest, arrived: Instant) -> Result<Admitted, QueryAnswer> {
+    fn admit(&self, req: &QueryRequest, arrived: Instant) -> Result<Admitted, Refusal> {
         let view = self.tier.view();
         if req.hits > MAX_HITS {
             let message = format!("Field \"hits\" is {}, allowed are 0 to {MAX_HITS}", req.hits);
-            return Err(QueryAnswer::refused(Reason::BadRequest, message, None));
+            return Err(Refusal::new(Reason::BadRequest, message, None));
         }
         let Some(entry) = view.catalogue.entry(&req.entry).cloned() else {
             let message = format!("Entry \"{}\" does not exist in the catalogue", req.entry);
-            return Err(QueryAnswer::refused(Reason::UnknownEntry, message, None));
+            return Err(Refusal::new(Reason::UnknownEntry, message, None));
         };
         let deadline = arrived + req.deadline.map_or(entry.deadline, |d| d.min(entry.deadline));
         let fingerprint = Fingerprint::of(&entry.name, req.params.get());
@@ -119,7 +121,7 @@
         entry: &Entry,
         fingerprint: Fingerprint,
         deadline: Instant,
-    ) -> Result<Suspicion, QueryAnswer> {
+    ) -> Result<Suspicion, Refusal> {
         let now = Instant::now();
         let verdict = self.tier.quarantine.lock().unwrap().verdict(fingerprint, deadline, now);
         match verdict {
@@ -128,7 +130,7 @@
             Verdict::Refuse(wait) => {
                 let message =
                     format!("Entry \"{}\": the request is suspected of crashing leafs", entry.name);
-                Err(QueryAnswer::refused(Reason::Quarantined, message, Some(wait)))
+                Err(Refusal::new(Reason::Quarantined, message, Some(wait)))
             }
         }
     }
@@ -166,7 +168,7 @@
 }
 
 impl Place {
-    fn take(entry: &Entry, state: Arc<EntryState>, now: Instant) -> Result<Self, QueryAnswer> {
+    fn take(entry: &Entry, state: Arc<EntryState>, now: Instant) -> Result<Self, Refusal> {
         let begun = state.limits.lock().unwrap().begin(now);
         match begun {
             Ok(()) => Ok(Self { state }),
@@ -177,7 +179,7 @@
                     entry.owner,
                     limit_name(over.reason),
                 );
-                Err(QueryAnswer::refused(over.reason, message, Some(over.retry_after)))
+                Err(Refusal::new(over.reason, message, Some(over.retry_after)))
             }
         }
     }
@@ -262,7 +264,8 @@
             "Entry \"{}\": index \"{}\" has no version that can be queried",
             self.entry.name, self.entry.index
         );
-        let refused = QueryAnswer::refused(Reason::NoIndex, message, Some(DEFAULT_RETRY_AFTER));
+        let refusal = Refusal::new(Reason::NoIndex, message, Some(DEFAULT_RETRY_AFTER));
+        let refused = QueryAnswer::from(refusal);
         QueryAnswer { query: Some(id), entry: Some(self.entry.name.clone()), ..refused }
     }
 }
@@ -281,8 +284,6 @@
     policy: TierPolicy,
     cx: Arc<CallContext>,
     events: mpsc::UnboundedReceiver<CallEvent>,
-    controls: Vec<Arc<CallControl>>,
-    first_attempt: Attempt,
     fingerprint: Fingerprint,
     noted: Suspicion,
 }
@@ -299,6 +300,9 @@
             entry: admitted.entry.clone(),
             entry_state: admitted.place.state.clone(),
             hedge_delay: latency.lock().unwrap().quantile(hedge_quantile),
+            picked: HashMap::new(),
+            controls: Vec::new(),
+            first_attempt: query.next_attempt(),
         };
         let cx = Arc::new(CallContext {
             tier: front.tier.clone(),
@@ -309,24 +313,15 @@
             deadline: admitted.deadline,
             events: tx,
         });
-        let (first_attempt, noted) = (query.next_attempt(), query.suspicion());
-        Self {
-            front,
-            query,
-            policy,
-            cx,
-            events: rx,
-            controls: Vec::new(),
-            first_attempt,
-            fingerprint: admitted.fingerprint,
-            noted,
-        }
+        let noted = query.suspicion();
+        Self { front, query, policy, cx, events: rx, fingerprint: admitted.fingerprint, noted }
     }
 
     async fn drive(&mut self, mut gone: std::pin::Pin<&mut impl Future<Output = ()>>) {
         let mut actions = Actions::default();
         self.query.start(Instant::now(), &mut self.policy, &mut actions);
         self.count_first_calls(&actions);
+        self.policy.picked.clear();
         self.carry_out(&mut actions);
         while !self.query.is_over() {
             let wake_at = self.query.wake_at();
@@ -380,7 +375,7 @@
     fn carry_out(&mut self, actions: &mut Actions) {
         for send in actions.sends.drain(..) {
             let control = Arc::new(CallControl::default());
-            self.controls.push(control.clone());
+            self.policy.controls.push(control.clone());
             let counters = &self.cx.tier.counters;
             match send.purpose {
                 Purpose::First => counters.first_calls.increment(),
@@ -400,16 +395,15 @@
     }
 
     fn cancel(&mut self, attempt: Attempt) {
-        let index = (attempt.0 - self.first_attempt.0) as usize;
-        let cancelled = self.controls.get(index).map_or(Cancelled::Withdrawn, |c| c.cancel());
+        let cancelled = self.policy.control(attempt).map_or(Cancelled::Withdrawn, |c| c.cancel());
         if cancelled == Cancelled::Withdrawn {
             self.query.withdrawn(attempt);
         }
     }
 
     fn cancel_all(&mut self) {
-        for index in 0..self.controls.len() as u32 {
-            self.cancel(Attempt(self.first_attempt.0 + index));
+        for index in 0..self.policy.controls.len() as u32 {
+            self.cancel(Attempt(self.policy.first_attempt.0 + index));
         }
     }
 }
@@ -429,6 +423,18 @@
     entry: Arc<Entry>,
     entry_state: Arc<EntryState>,
     hedge_delay: Option<Duration>,
+    /// Calls that this query's first fan-out gave to each leaf, which the leafs' gates do not
+    /// count yet while the choices are made.
+    picked: HashMap<LeafKey, u32>,
+    controls: Vec<Arc<CallControl>>,
+    first_attempt: Attempt,
+}
+
+impl TierPolicy {
+    fn control(&self, attempt: Attempt) -> Option<&Arc<CallControl>> {
+        let index = attempt.0.checked_sub(self.first_attempt.0)?;
+        self.controls.get(index as usize)
+    }
 }
 
 impl Policy for TierPolicy {
@@ -439,8 +445,14 @@
         purpose: Purpose,
         now: Instant,
     ) -> Option<Choice> {
-        let choosing = Choosing { replicas, tried, purpose, now };
-        self.view.leafs.choose(&self.tier.identity.zone, self.entry.class, choosing)
+        let picked = &self.picked;
+        let choosing = Choosing { replicas, tried, purpose, picked, now };
+        let zone = &self.tier.identity.zone;
+        let choice = self.view.leafs.choose(zone, self.entry.class, choosing)?;
+        if purpose == Purpose::First {
+            *self.picked.entry(choice.leaf).or_default() += 1;
+        }
+        Some(choice)
     }
 
     fn take_hedge(&mut self, _now: Instant) -> bool {
@@ -457,4 +469,12 @@
     fn hedge_delay(&self) -> Option<Duration> {
         self.hedge_delay
     }
+
+    fn written_at(&self, attempt: Attempt) -> Option<Instant> {
+        self.control(attempt)?.written_at()
+    }
+
+    fn withdraw(&mut self, attempt: Attempt) -> bool {
+        self.control(attempt).is_none_or(|control| control.withdraw())
+    }
 }
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -107,7 +107,7 @@
             self.in_flight += 1;
             return Admission::Admitted;
         }
-        if now + self.wait(class, service) + service > deadline {
+        if now + self.wait(class, service, 0) + service > deadline {
             return Admission::Refused;
         }
         self.next_number += 1;
@@ -128,16 +128,19 @@
         nobody_before && self.in_flight < self.allowed()
     }
 
-    /// Estimates how long a new call of this class waits for a slot.
-    pub fn wait(&self, class: Class, service: Duration) -> Duration {
-        if self.is_free(class) {
+    /// Estimates how long a new call of this class waits for a slot, behind `more` calls that are
+    /// about to enter.
+    pub fn wait(&self, class: Class, service: Duration, more: u32) -> Duration {
+        let free = self.allowed().saturating_sub(self.in_flight);
+        if self.is_free(class) && more < free {
             return Duration::ZERO;
         }
         let ahead = match class {
             Class::Urgent => self.urgent.len(),
             Class::Ordinary => self.urgent.len() + self.ordinary.len(),
         };
-        service.mul_f64((ahead + 1) as f64 / f64::from(self.allowed()))
+        let behind = more.saturating_sub(free) as usize;
+        service.mul_f64((ahead + behind + 1) as f64 / f64::from(self.allowed()))
     }
 
     /// Gives a slot back and returns the tokens of the waiters that get one now.
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -1,5 +1,6 @@
 //! One leaf as this process knows it, and the table of all of them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -157,6 +158,8 @@
     pub tried: &'a [LeafKey],
     /// Why a call is made.
     pub purpose: Purpose,
+    /// Calls that were given to each leaf and are not counted in its gate yet.
+    pub picked: &'a HashMap<LeafKey, u32>,
     /// The present time.
     pub now: Instant,
 }
@@ -188,16 +191,18 @@
             return None;
         }
         let service = state.belief.service();
-        let wait = state.gate.wait(class, service) + service;
-        let load = f64::from(state.gate.in_flight()) + 1.0;
-        let mut cost = state.gate.wait(class, service) + state.belief.cost().mul_f64(load);
+        let picked = self.picked.get(&leaf.key).copied().unwrap_or(0);
+        let queueing = state.gate.wait(class, service, picked);
+        let wait = queueing + service;
+        let load = f64::from(state.gate.in_flight() + picked) + 1.0;
+        let mut cost = queueing + state.belief.cost().mul_f64(load);
+        cost = cost.mul_f64(rand::rng().random_range(0.9..1.1));
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
         }
         if was_tried {
             cost += Duration::from_secs(60);
         }
-        cost = cost.mul_f64(rand::rng().random_range(0.9..1.1));
         let ejected = usability == Usability::Ejected
             || (state.belief.is_on_probe() && state.gate.in_flight() > 0);
         Some(Candidate { leaf: leaf.key, wait, cost, ejected })
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -66,8 +66,14 @@
     /// run, from the budget of the entry.
     fn take_retry(&mut self, failed: LeafKey, may_have_run: bool, now: Instant) -> bool;
 
-    /// Returns how long a call may take before it is hedged.
+    /// Returns how long a call may take, from its write on, before it is hedged.
     fn hedge_delay(&self) -> Option<Duration>;
+
+    /// Returns when a byte of the call may first have been written.
+    fn written_at(&self, attempt: Attempt) -> Option<Instant>;
+
+    /// Takes back a call of which no byte was written; fails if one may have been.
+    fn withdraw(&mut self, attempt: Attempt) -> bool;
 }
 
 /// A leaf call to make.
@@ -338,23 +344,47 @@
         self.check_over(now, out);
     }
 
+    /// Sends a slow call a second time. A call that still waits for a slot is moved instead, which
+    /// is no extra load; one that was written late gets its full delay first.
     fn hedge(&mut self, shard: ShardNo, now: Instant, policy: &mut dyn Policy, out: &mut Actions) {
-        let snapshot = self.plan.snapshot.clone();
-        let state = self.shard(shard);
-        state.hedge_at = None;
-        if state.merged || state.given_up || state.live != 1 {
+        let hedge_at = self.shard(shard).hedge_at.take();
+        let Some(slow) = self.only_live_call(shard) else { return };
+        let due_at = match (policy.written_at(slow), policy.hedge_delay()) {
+            (Some(written_at), Some(delay)) => Some(written_at + delay),
+            _ => hedge_at,
+        };
+        if due_at.is_some_and(|at| at > now) {
+            self.shard(shard).hedge_at = due_at;
             return;
         }
-        let Some(choice) =
-            policy.choose(snapshot.replicas(shard), &state.tried, Purpose::Hedge, now)
-        else {
-            return;
-        };
-        if policy.take_hedge(now) {
+        let snapshot = self.plan.snapshot.clone();
+        let tried = &self.shard(shard).tried;
+        let choice = policy.choose(snapshot.replicas(shard), tried, Purpose::Hedge, now);
+        let Some(choice) = choice else { return };
+        if policy.withdraw(slow) {
+            self.close_call(slow);
+            self.send(shard, choice.leaf, Purpose::First, out);
+            self.shard(shard).hedge_at = self.hedge_time(now, policy);
+        } else if policy.take_hedge(now) {
             self.send(shard, choice.leaf, Purpose::Hedge, out);
         }
     }
 
+    fn only_live_call(&mut self, shard: ShardNo) -> Option<Attempt> {
+        let state = self.shard(shard);
+        if state.merged || state.given_up || state.live != 1 {
+            return None;
+        }
+        self.live_calls(shard).next()
+    }
+
+    fn live_calls(&self, shard: ShardNo) -> impl Iterator<Item = Attempt> {
+        let first = self.plan.first_attempt.0;
+        let calls = self.calls.iter().enumerate();
+        let live = calls.filter(move |(_, c)| c.shard == shard && c.state == CallState::Live);
+        live.map(move |(i, _)| Attempt(first + i as u32))
+    }
+
     /// Returns when [`Query::tick`] must be called at the latest.
     pub fn wake_at(&self) -> Instant {
         let hedges = self.shards.iter().filter(|s| !s.merged).filter_map(|s| s.hedge_at);
@@ -533,10 +563,7 @@
         self.open -= 1;
         self.hits.extend(hits);
         if has_loser {
-            let first = self.plan.first_attempt.0;
-            let losers = self.calls.iter().enumerate();
-            let losers = losers.filter(|(_, c)| c.shard == shard && c.state == CallState::Live);
-            out.cancels.extend(losers.map(|(i, _)| Attempt(first + i as u32)));
+            out.cancels.extend(self.live_calls(shard));
         }
     }
 
@@ -703,9 +730,7 @@
         if self.over.is_some() {
             return;
         }
-        if self.merged == self.shards.len() {
-            self.finish(Reason::DeadlineExceeded, out);
-        } else if now >= self.plan.deadline {
+        if self.merged == self.shards.len() || now >= self.plan.deadline {
             self.finish(Reason::DeadlineExceeded, out);
         } else if self.open == 0 || self.merged + self.open < self.needed() {
             let condemned = self.suspicion == Suspicion::Condemned;
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -19,10 +19,10 @@
 use xitca_web::http::WebResponse;
 use xitca_web::http::header;
 
-use crate::answer::OutcomeKind;
 use crate::answer::QueryAnswer;
 use crate::answer::QueryRequest;
 use crate::answer::Reason;
+use crate::answer::Refusal;
 use crate::client_watch::WatchedListener;
 use crate::daemon::Daemon;
 use crate::lifecycle::Phase;
@@ -31,8 +31,6 @@
 pub const MAX_REQUEST_BYTES: usize = 1 << 20;
 /// Wait named to callers of a daemon that takes no queries.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
-/// Longest time for the HTTP library to finish its connections, in seconds.
-const SERVER_STOP_SECONDS: u64 = 5;
 
 /// Path of a query.
 pub const QUERY_PATH: &str = "/query";
@@ -62,7 +60,6 @@
         .worker_threads(workers)
         .keep_alive_timeout(Duration::from_secs(75))
         .listen(WatchedListener { listener, clients })?;
-    let _ = SERVER_STOP_SECONDS;
     Ok(server.run())
 }
 
@@ -103,8 +100,8 @@
     }
 
     fn refusal(status: u16, message: String) -> Self {
-        let answer = QueryAnswer::refused(Reason::BadRequest, message, None);
-        Self::json(status, &answer)
+        let refusal = Refusal::new(Reason::BadRequest, message, None);
+        Self::json(status, &QueryAnswer::from(refusal))
     }
 
     fn into_response(self, closing: bool) -> WebResponse {
@@ -174,7 +171,7 @@
 fn not_ready(daemon: &Daemon, phase: Phase) -> QueryAnswer {
     let host = &daemon.settings.host;
     let message = format!("Host \"{host}\" is {} and takes no queries", phase.name());
-    QueryAnswer::without_hits(OutcomeKind::NotRun, Reason::NotReady, message, Some(NOT_READY_RETRY))
+    Refusal::new(Reason::NotReady, message, Some(NOT_READY_RETRY)).into()
 }
 
 async fn read_body(cx: &Context<'_>) -> Result<BytesMut, Reply> {
