--- /dev/null
+++ b/cli/tests/test_query_path.rs
@@ -0,0 +1,286 @@
+//! The way of a query through a real daemon process, with leafs that fail in every way.
+
+use std::time::Duration;
+
+use jasmineusher_bench::fleet::FleetShape;
+use jasmineusher_lib::answer::OutcomeKind;
+use jasmineusher_lib::answer::QueryAnswer;
+use jasmineusher_lib::answer::Reason;
+use jasmineusher_lib::http_client::HttpCall;
+use jasmineusher_lib::ids::IndexVersion;
+use jasmineusher_lib::server::QUERY_PATH;
+use serde_json::json;
+use testutils::TestBed;
+use testutils::assert_truthful;
+use testutils::eventually;
+use tokio::io::AsyncWriteExt;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_jasmineusherd");
+
+fn small() -> FleetShape {
+    FleetShape { shards: 6, leafs: 6, replicas: 2, ..FleetShape::careline() }
+}
+
+fn lookup() -> serde_json::Value {
+    json!({ "entry": "lookup", "params": {}, "hits": 4 })
+}
+
+fn reason(answer: &QueryAnswer) -> Option<Reason> {
+    answer.refusal.as_ref().map(|refusal| refusal.reason)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_merges_the_best_hits_of_all_shards() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    let (status, answer) = bed.query(0, lookup()).await;
+    assert_eq!((status, answer.outcome), (200, OutcomeKind::Complete));
+    assert_truthful(&answer);
+    let ids: Vec<_> = answer.hits.iter().map(|hit| hit.id.as_str()).collect();
+    insta::assert_debug_snapshot!(ids, @r#"
+    [
+        "v1-s3-0",
+        "v1-s2-2",
+        "v1-s2-1",
+        "v1-s5-2",
+    ]
+    "#);
+    let all: Vec<u16> = answer.coverage.contributed.iter().map(|s| s.0).collect();
+    assert_eq!(all, [0, 1, 2, 3, 4, 5]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_names_exactly_the_shards_whose_replicas_are_down() {
+    let shape = FleetShape { replicas: 1, ..small() };
+    let bed = TestBed::start(DAEMON, shape, 1).await;
+    bed.fleet.leafs[2].kill(true);
+    bed.fleet.leafs[4].kill(true);
+    let (status, answer) = bed.query(0, lookup()).await;
+    assert_eq!((status, answer.outcome), (206, OutcomeKind::Partial));
+    assert_truthful(&answer);
+    let missing: Vec<u16> = answer.coverage.missing.iter().map(|s| s.0).collect();
+    assert_eq!(missing, [2, 4]);
+    let (status, answer) = bed.query(0, json!({ "entry": "table", "params": {} })).await;
+    assert_eq!((status, answer.outcome), (504, OutcomeKind::Unknown));
+    assert!(answer.hits.is_empty(), "an answer below its minimum coverage shows no hits");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_replica_is_covered_by_the_other_one() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    bed.fleet.leafs[1].kill(true);
+    for _ in 0..20 {
+        let (_, answer) = bed.query(0, lookup()).await;
+        assert_eq!(answer.outcome, OutcomeKind::Complete);
+        assert_truthful(&answer);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_call_is_never_merged() {
+    let shape = FleetShape { replicas: 1, ..small() };
+    let bed = TestBed::start(DAEMON, shape, 1).await;
+    bed.fleet.leafs[3].behave(|behaviour| behaviour.crossed = true);
+    let (_, answer) = bed.query(0, lookup()).await;
+    assert_truthful(&answer);
+    assert_eq!(answer.outcome, OutcomeKind::Partial);
+    assert_eq!(answer.coverage.missing.iter().map(|s| s.0).collect::<Vec<_>>(), [3]);
+    let state = bed.state(0).await;
+    assert!(state["counters"]["strays"].as_u64() > Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_after_the_deadline_are_not_counted() {
+    let shape = FleetShape { replicas: 1, ..small() };
+    let bed = TestBed::start(DAEMON, shape, 1).await;
+    bed.fleet.leafs[0].behave(|behaviour| behaviour.service = Duration::from_secs(30));
+    let req = json!({ "entry": "lookup", "params": {}, "deadline_ms": 700 });
+    let (_, late) = bed.query(0, req.clone()).await;
+    assert_truthful(&late);
+    assert_eq!(late.coverage.missing.iter().map(|s| s.0).collect::<Vec<_>>(), [0]);
+    bed.fleet.leafs[0].behave(|behaviour| behaviour.service = Duration::from_millis(1));
+    let whole = eventually("leaf is used again", async || {
+        let (_, answer) = bed.query(0, req.clone()).await;
+        assert_truthful(&answer);
+        (answer.outcome == OutcomeKind::Complete).then_some(answer)
+    })
+    .await;
+    assert_ne!(whole.query, late.query);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn version_change_under_queries_mixes_nothing() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    let (v1, v2) = (IndexVersion(1), IndexVersion(2));
+    let queries = async {
+        let mut versions = Vec::new();
+        for _ in 0..300 {
+            let (_, answer) = bed.query(0, json!({ "entry": "restarting", "params": {} })).await;
+            assert_truthful(&answer);
+            assert_eq!(answer.outcome, OutcomeKind::Complete, "{:?}", answer.refusal);
+            versions.push(answer.version);
+        }
+        versions
+    };
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bed.fleet.load_version(v2);
+        bed.fleet.publish_layout(&[v1, v2]);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bed.fleet.unload_version(v1);
+        bed.fleet.publish_layout(&[v2]);
+    };
+    let (versions, ()) = tokio::join!(queries, change);
+    assert_eq!((versions.first(), versions.last()), (Some(&Some(v1)), Some(&Some(v2))));
+    assert!(versions.is_sorted(), "once the new version is pinned, the old one is not again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_its_calls_at_the_leafs() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    for leaf in &bed.fleet.leafs {
+        leaf.behave(|behaviour| behaviour.service = Duration::from_secs(30));
+    }
+    let mut caller = tokio::net::TcpStream::connect(bed.daemons[0].addr).await.expect("connects");
+    let body = lookup().to_string();
+    let req = format!(
+        "POST {QUERY_PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(req.as_bytes()).await.expect("writes");
+    eventually("calls reach the leafs", async || {
+        let state = bed.state(0).await;
+        (state["counters"]["first_calls"].as_u64() == Some(6)).then_some(())
+    })
+    .await;
+    drop(caller);
+    eventually("calls are cancelled", async || {
+        let state = bed.state(0).await;
+        let counters = &state["counters"];
+        let ended = counters["cancels"].as_u64()? + counters["withdrawn"].as_u64()?;
+        (counters["callers_gone"] == 1 && ended >= 6).then_some(())
+    })
+    .await;
+    eventually("leafs stop working", async || {
+        (bed.fleet.record.sums().calls.get("lookup") == Some(&6)).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_refusal_says_not_run_and_reaches_no_leaf() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    let addr = bed.daemons[0].addr;
+    let post = |body: &str| {
+        HttpCall::post(addr, QUERY_PATH, body.to_owned().into(), Duration::from_secs(5))
+    };
+    let huge = "x".repeat(2 << 20);
+    let calls = [
+        ("bad JSON", post("{")),
+        ("unknown field", post(r#"{"entry":"lookup","params":{},"colour":1}"#)),
+        ("unknown entry", post(r#"{"entry":"nothing","params":{}}"#)),
+        ("too many hits", post(r#"{"entry":"lookup","params":{},"hits":100000}"#)),
+        ("too large", post(&huge)),
+        ("wrong method", HttpCall::get(addr, QUERY_PATH, Duration::from_secs(5))),
+        ("wrong path", HttpCall::get(addr, "/nowhere", Duration::from_secs(5))),
+    ];
+    let mut seen = Vec::new();
+    for (what, call) in calls {
+        let reply = bed.client.call(call).await.expect("the daemon answers");
+        let answer: QueryAnswer = serde_json::from_slice(&reply.body).expect("typed body");
+        assert_eq!(answer.outcome, OutcomeKind::NotRun, "{what}");
+        seen.push(format!("{what}: {} {:?}", reply.status, reason(&answer)));
+    }
+    insta::assert_debug_snapshot!(seen, @r#"
+    [
+        "bad JSON: 400 Some(BadRequest)",
+        "unknown field: 400 Some(BadRequest)",
+        "unknown entry: 404 Some(UnknownEntry)",
+        "too many hits: 400 Some(BadRequest)",
+        "too large: 413 Some(BadRequest)",
+        "wrong method: 405 Some(BadRequest)",
+        "wrong path: 404 Some(BadRequest)",
+    ]
+    "#);
+    assert!(bed.fleet.record.sums().calls.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rate_limit_refuses_with_the_owner_and_a_wait() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    let req = json!({ "entry": "scarce", "params": {} });
+    let (first, _) = bed.query(0, req.clone()).await;
+    let (second, answer) = bed.query(0, req).await;
+    assert!(first == 200 || first == 429);
+    assert_eq!((second, answer.outcome), (429, OutcomeKind::NotRun));
+    assert_eq!(reason(&answer), Some(Reason::RateLimit));
+    let refusal = answer.refusal.expect("a refusal says why");
+    assert!(refusal.message.contains("tabela-viva"), "{}", refusal.message);
+    assert!(refusal.retry_after > Some(Duration::from_secs(1)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_leaf_gets_no_more_calls_once_it_said_so() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    bed.query(0, lookup()).await;
+    bed.fleet.leafs[0].behave(|behaviour| behaviour.draining = true);
+    for _ in 0..50 {
+        let (_, answer) = bed.query(0, lookup()).await;
+        assert_eq!(answer.outcome, OutcomeKind::Complete);
+    }
+    let after_sign = bed.fleet.record.sums().calls_while_draining;
+    assert!(after_sign <= 2, "{after_sign} calls reached a leaf that had said that it leaves");
+    bed.fleet.publish_hosts();
+    eventually("host list names it as leaving", async || {
+        let state = bed.state(0).await;
+        (state["leafs"]["careline-0"]["usability"] == "draining").then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_under_load_cuts_no_request() {
+    let mut bed = TestBed::start(DAEMON, small(), 1).await;
+    for leaf in &bed.fleet.leafs {
+        leaf.behave(|behaviour| behaviour.service = Duration::from_millis(40));
+    }
+    // The balancer in front of the daemon sends nothing more once it is refused.
+    let load = async {
+        let mut outcomes = Vec::new();
+        while !outcomes.contains(&OutcomeKind::NotRun) {
+            let batch = (0..8).map(|_| bed.try_query(0, lookup()));
+            for result in futures_util::future::join_all(batch).await {
+                let (_, answer) = result.expect("no request is cut");
+                outcomes.push(answer.outcome);
+            }
+        }
+        outcomes
+    };
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bed.daemons[0].signal("TERM");
+    };
+    let (outcomes, ()) = tokio::join!(load, stop);
+    assert!(outcomes.contains(&OutcomeKind::Complete));
+    assert!(outcomes.iter().all(|o| matches!(o, OutcomeKind::Complete | OutcomeKind::NotRun)));
+    assert_eq!(bed.daemons[0].wait(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_catalogue_is_refused_whole_and_the_last_one_stays() {
+    let bed = TestBed::start(DAEMON, small(), 1).await;
+    bed.fleet.publish_catalogue("[[entry]]\nname = \"lookup\"\n");
+    let state = eventually("refusal is shown", async || {
+        let state = bed.state(0).await;
+        state["last_refusal"].is_string().then_some(state)
+    })
+    .await;
+    assert_eq!(state["revisions"]["catalogue"], 1);
+    let refusal = state["last_refusal"].as_str().expect("checked above");
+    insta::assert_snapshot!(refusal, @r#"catalogue revision 2: Catalogue is refused: Catalogue has 1 fault(s); the first: Line 1: entry "lookup", field "kind": missing field `kind`"#);
+    let reads = state["counters"]["platform_reads"].as_u64();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let later = bed.state(0).await["counters"]["platform_reads"].as_u64();
+    assert_eq!(reads, later, "a refused document is not read again and again");
+    let (status, _) = bed.query(0, lookup()).await;
+    assert_eq!(status, 200);
+}
--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -2,8 +2,10 @@
 
 /// The most extra calls that a budget saves up.
 const MAX_SAVED_CALLS: f64 = 100.0;
-/// Extra calls that a new budget may make before any first call.
+/// Extra calls that a new entry's budget may make before any first call.
 const INITIAL_CALLS: f64 = 2.0;
+/// Retries that a new leaf's failures may cause before any call to it ended well.
+const INITIAL_LEAF_RETRIES: f64 = 20.0;
 
 /// A budget that grows with first calls and shrinks with extra ones.
 ///
@@ -23,6 +25,11 @@
 }
 
 impl ExtraLoadBudget {
+    /// Makes the budget for the retries that one leaf's failures cause.
+    pub fn for_leaf() -> Self {
+        Self { saved: INITIAL_LEAF_RETRIES, ..Self::default() }
+    }
+
     /// Adds the credit for first calls at the entry's share of extra load.
     pub fn earn(&mut self, first_calls: usize, share: f64) {
         self.first_calls += first_calls as u64;
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -61,7 +61,7 @@
         let state = LeafState {
             gate: Gate::new(share.min(host.slots)),
             belief: Belief::default(),
-            retries: ExtraLoadBudget::default(),
+            retries: ExtraLoadBudget::for_leaf(),
         };
         Self { key, pool: Pool::new(share), host, state: Mutex::new(state) }
     }
