peers: exchanges, distribution, membership, shares of limits and tickets

Limits are split by zone and host, and hosts of a zone lend under leases that the giver counts longer than the borrower. A ticket is run only by the process run that issued it.

--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -30,6 +30,8 @@
     zone: Option<String>,
     #[options(no_short, help = "address of the platform", meta = "ADDR")]
     platform: Option<String>,
+    #[options(no_short, help = "addresses of peers to ask at the start", meta = "ADDRS")]
+    seeds: Option<String>,
     #[options(no_short, help = "worker threads (default: one per core)", meta = "N")]
     workers: Option<String>,
     #[options(no_short, help = "human or json (default: human)", meta = "FORMAT")]
@@ -59,6 +61,7 @@
             host: flags.host,
             zone: flags.zone,
             platform: flags.platform,
+            seeds: flags.seeds,
             workers: flags.workers,
             log_format: flags.log_format,
             log_level: flags.log_level,
--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -47,6 +47,7 @@
     ejected_until: Option<Instant>,
     listed_leaving: bool,
     said_draining_at: Option<Instant>,
+    answered_at: Option<Instant>,
     sheds: u64,
     losses: u64,
     hinted_queue: u32,
@@ -62,6 +63,7 @@
             ejected_until: None,
             listed_leaving: false,
             said_draining_at: None,
+            answered_at: None,
             sheds: 0,
             losses: 0,
             hinted_queue: 0,
@@ -71,7 +73,7 @@
 
 impl Belief {
     /// Records an answer that took `latency`.
-    pub fn answered(&mut self, latency: Duration, hinted_queue: u32) {
+    pub fn answered(&mut self, latency: Duration, hinted_queue: u32, now: Instant) {
         let sample = latency.as_micros() as f64;
         let weight = if self.answers == 0 { 1.0 } else { LATENCY_WEIGHT };
         self.latency_us += (sample - self.latency_us) * weight;
@@ -80,6 +82,7 @@
         self.ejections_in_row = 0;
         self.ejected_until = None;
         self.said_draining_at = None;
+        self.answered_at = Some(now);
         self.hinted_queue = hinted_queue;
     }
 
@@ -103,6 +106,21 @@
         self.said_draining_at = Some(now);
     }
 
+    /// Records that another host heard the leaf say that it is leaving, `age` ago. A later answer of
+    /// the leaf to this host goes before it.
+    pub fn heard_draining(&mut self, age: Duration, now: Instant) {
+        let Some(at) = now.checked_sub(age) else { return };
+        if self.answered_at.is_none_or(|answered| answered < at) {
+            self.said_draining_at = self.said_draining_at.max(Some(at));
+        }
+    }
+
+    /// Returns how long ago the leaf said that it is leaving, while that is remembered.
+    pub fn draining_age(&self, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.said_draining_at?);
+        (age < DRAIN_MEMORY).then_some(age)
+    }
+
     /// Records what the host list says.
     pub fn listed(&mut self, leaving: bool) {
         self.listed_leaving = leaving;
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -347,7 +347,9 @@
             LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
                 return CallEnd::Other;
             }
-            LeafStatus::Ok | LeafStatus::Failed => state.belief.answered(elapsed, answer.queued),
+            LeafStatus::Ok | LeafStatus::Failed => {
+                state.belief.answered(elapsed, answer.queued, now)
+            }
         }
         drop(state);
         self.cx.latency.lock().unwrap().record(elapsed, now);
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
 use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,24 +15,36 @@
 
 use crate::answer::QueryAnswer;
 use crate::answer::QueryRequest;
+use crate::answer::Reason;
+use crate::answer::Refusal;
 use crate::client_watch::ClientWatch;
 use crate::control;
 use crate::events::Event;
+use crate::exchange::PeerStrikeTeller;
+use crate::exchange::Peers;
 use crate::front::Front;
 use crate::http_leaf::HttpLeafBackend;
 use crate::lifecycle::Lifecycle;
+use crate::lifecycle::Phase;
 use crate::platform::HttpPlatform;
 use crate::platform::Platform;
 use crate::publication::Document;
+use crate::publication::DocumentKind;
 use crate::publication::PublicationError;
+use crate::publication::View;
 use crate::server;
 use crate::settings::Settings;
+use crate::shares::Seat;
 use crate::state::StateDump;
+use crate::ticket::TicketTable;
 use crate::tier::Identity;
 use crate::tier::Tier;
 
-/// Time after the last request during which a leaving daemon still answers refusals.
+/// Time after the last request during which a leaving daemon still answers refusals, so that the
+/// balancer in front of it learns that it is not ready.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longest time for callers to close their connections after that.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 /// How often a leaving daemon looks whether its requests are finished.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -76,36 +89,67 @@
     pub clients: ClientWatch,
     /// The platform.
     pub platform: Box<dyn Platform>,
+    /// What is known through peers.
+    pub peers: Peers,
+    /// Tickets that this process issued.
+    pub tickets: Mutex<TicketTable>,
     front: Front,
     last_refusal: Mutex<Option<String>>,
+    this: Weak<Self>,
 }
 
 impl Daemon {
-    fn new(settings: Settings, now: Instant) -> Self {
+    fn new(settings: Settings, now: Instant) -> Arc<Self> {
         let identity = Identity {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             incarnation: Tier::new_incarnation(),
         };
+        let tickets = TicketTable::new(identity.host.clone(), identity.incarnation, now);
         let tier = Arc::new(Tier::new(identity, Box::new(HttpLeafBackend)));
-        Self {
-            front: Front::new(tier.clone()),
+        Arc::new_cyclic(|this| Self {
+            front: Front::new(tier.clone())
+                .with_strike_teller(Arc::new(PeerStrikeTeller { daemon: this.clone() })),
             platform: Box::new(HttpPlatform::new(settings.platform)),
+            peers: Peers::new(&settings, now),
+            tickets: Mutex::new(tickets),
             tier,
             lifecycle: Lifecycle::new(now),
             clients: ClientWatch::default(),
             settings,
             last_refusal: Mutex::default(),
-        }
+            this: this.clone(),
+        })
+    }
+
+    /// Returns a counted reference to this daemon.
+    pub fn self_ref(&self) -> Option<Arc<Self>> {
+        self.this.upgrade()
+    }
+
+    /// Returns what answers queries without tickets.
+    pub fn front(&self) -> &Front {
+        &self.front
     }
 
     /// Answers one request.
     pub async fn answer(
-        &self,
+        self: &Arc<Self>,
         req: &QueryRequest,
         arrived: Instant,
         gone: impl Future<Output = ()>,
     ) -> QueryAnswer {
+        if let Some(ticket) = &req.ticket {
+            return self.answer_ticketed(req, ticket, arrived).await;
+        }
+        let view = self.tier.view();
+        if view.catalogue.entry(&req.entry).is_some_and(|entry| !entry.idempotent) {
+            let message = format!(
+                "Entry \"{}\" is not idempotent: get a ticket with POST /ticket and send it along",
+                req.entry
+            );
+            return Refusal::new(Reason::TicketRequired, message, None).into();
+        }
         self.front.answer(req, arrived, gone).await
     }
 
@@ -113,18 +157,23 @@
     pub fn publish(&self, document: Document) {
         let counters = &self.tier.counters;
         let (kind, revision) = (document.kind, document.revision);
-        match self.tier.publish(document) {
+        let old = self.tier.view().document(kind).cloned();
+        let is_newest = self.peers.archive.lock().unwrap().see(kind, revision);
+        match self.tier.publish(document.clone()) {
             Ok(view) => {
                 Event::DocumentInForce.info(&format!("{} revision {revision}", kind.name()));
-                control::share_limits(&self.tier, &view, Instant::now());
-                if view.is_whole() && self.lifecycle.ready() {
-                    Event::Ready.info(&format!("host {}", self.settings.host));
+                self.peers.archive.lock().unwrap().replaced(old.as_ref(), &document);
+                if kind == DocumentKind::Hosts {
+                    self.take_hosts(&view, Instant::now());
                 }
+                self.apply_shares(Instant::now());
+                self.spread_news();
             }
             Err(e @ PublicationError::NotNewer { .. }) => {
                 counters.stale_documents.increment();
                 tracing::debug!(event = Event::DocumentStale.number(), "{e}");
             }
+            Err(_) if !is_newest => counters.stale_documents.increment(),
             Err(e) => {
                 counters.invalid_documents.increment();
                 let text = format!("{} revision {revision}: {}", kind.name(), with_sources(&e));
@@ -134,13 +183,82 @@
         }
     }
 
+    fn take_hosts(&self, view: &View, now: Instant) {
+        self.peers.membership.lock().unwrap().listed(&view.hosts);
+        let seat = seat_of(&self.settings, view);
+        self.peers.shares.lock().unwrap().take_seat(seat, now);
+    }
+
+    /// Takes queries if all documents are in force and the own share counts, because of news asked
+    /// for at `asked_at`.
+    pub fn recheck(&self, asked_at: Instant) {
+        let now = Instant::now();
+        let settled = self.peers.shares.lock().unwrap().is_settled(now);
+        if !settled || !self.tier.view().is_whole() || self.lifecycle.phase() != Phase::Starting {
+            return;
+        }
+        self.apply_shares(now);
+        if self.lifecycle.ready(asked_at) {
+            Event::Ready.info(&format!("host {}", self.settings.host));
+        }
+    }
+
+    /// Measures the demand for each entry since the last call.
+    pub fn measure_demand(&self, passed: Duration, now: Instant) {
+        for entry in self.tier.view().catalogue.entries() {
+            let state = self.tier.entry_state(entry, now);
+            state.limits.lock().unwrap().measure(&entry.limits, passed);
+        }
+    }
+
+    /// Gives each entry this host's present share of its limits.
+    pub fn apply_shares(&self, now: Instant) {
+        let view = self.tier.view();
+        let zone_hosts = view.hosts.zone_daemons(&self.settings.zone).count();
+        let fenced = self.peers.is_fenced(zone_hosts, now);
+        let mut shares = self.peers.shares.lock().unwrap();
+        shares.tick(!fenced, now);
+        for entry in view.catalogue.entries() {
+            let share = shares.share(&entry.name, &entry.limits, fenced, now);
+            let state = self.tier.entry_state(entry, now);
+            state.limits.lock().unwrap().set_share(share, now);
+        }
+    }
+
     /// Dumps the state.
     pub fn dump(&self, now: Instant) -> StateDump {
         let last_refusal = self.last_refusal.lock().unwrap().clone();
-        StateDump::of(&self.tier, self.lifecycle.phase().name(), last_refusal, now)
+        let dump = StateDump::of(&self.tier, self.lifecycle.phase().name(), last_refusal, now);
+        StateDump {
+            members: self.peers.membership.lock().unwrap().dump(now),
+            platform_ms_ago: self
+                .peers
+                .contact
+                .lock()
+                .unwrap()
+                .age(now)
+                .map(|a| a.as_millis() as u64),
+            loans: self.peers.shares.lock().unwrap().balances(now).into_iter().collect(),
+            tickets: self.tickets.lock().unwrap().records(),
+            ..dump
+        }
     }
 }
 
+/// Finds this host's place in a host list; nothing when it is not listed.
+fn seat_of(settings: &Settings, view: &View) -> Option<Seat> {
+    let zones = view.hosts.zones();
+    let zone_rank = zones.iter().position(|zone| **zone == settings.zone)?;
+    let hosts: Vec<_> = view.hosts.zone_daemons(&settings.zone).collect();
+    let host_rank = hosts.iter().position(|host| host.name == settings.host)?;
+    Some(Seat {
+        zone_rank: zone_rank as u32,
+        zones: zones.len() as u32,
+        host_rank: host_rank as u32,
+        hosts: hosts.len() as u32,
+    })
+}
+
 /// Writes an error with its causes on one line.
 pub fn with_sources(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
@@ -152,6 +270,12 @@
     text
 }
 
+fn wait_while(give_up: Instant, condition: impl Fn() -> bool) {
+    while condition() && Instant::now() < give_up {
+        std::thread::sleep(DRAIN_CHECK);
+    }
+}
+
 /// A daemon that runs in threads of this process.
 pub struct RunningDaemon {
     /// Its parts.
@@ -170,7 +294,7 @@
         let listener =
             TcpListener::bind(addr).map_err(|source| DaemonError::Listen { addr, source })?;
         let addr = listener.local_addr().unwrap_or(addr);
-        let daemon = Arc::new(Daemon::new(settings, Instant::now()));
+        let daemon = Daemon::new(settings, Instant::now());
         let control = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .thread_name("control")
@@ -182,6 +306,9 @@
         let handle = server.handle().map_err(|source| DaemonError::Serve { addr, source })?;
         let server = std::thread::spawn(move || server.wait());
         Event::Listening.info(&format!("host {} on {addr}", daemon.settings.host));
+        // Nobody else sets these.
+        let _ = daemon.peers.own_addr.set(addr);
+        let _ = daemon.peers.runtime.set(control.handle().clone());
         control::start(&daemon, control.handle());
         Ok(Self { daemon, addr, control: Some(control), handle, server: Some(server) })
     }
@@ -189,12 +316,12 @@
     /// Shuts down gracefully: takes nothing new, finishes what is in progress, then ends.
     pub fn stop(&mut self) {
         self.daemon.lifecycle.leave();
+        self.daemon.spread_leaving();
         Event::Leaving.info(&format!("host {}", self.daemon.settings.host));
         let give_up = Instant::now() + self.daemon.settings.shutdown;
-        while self.daemon.lifecycle.in_progress() > 0 && Instant::now() < give_up {
-            std::thread::sleep(DRAIN_CHECK);
-        }
+        wait_while(give_up, || self.daemon.lifecycle.in_progress() > 0);
         std::thread::sleep(LINGER);
+        wait_while(Instant::now() + CLOSE_LIMIT, || self.daemon.clients.open() > 0);
         self.end();
         Event::Stopped.info(&format!("host {}", self.daemon.settings.host));
     }
--- a/lib/src/lifecycle.rs
+++ b/lib/src/lifecycle.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Gap between two beats of the control loop after which the process counts as paused.
 pub const PAUSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// What a process does with new queries.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// Has not got all documents, or has not checked them since a pause.
@@ -37,6 +38,7 @@
     phase: Phase,
     in_progress: usize,
     beat_at: Instant,
+    checking_since: Instant,
 }
 
 /// The life of one process.
@@ -60,7 +62,8 @@
 impl Lifecycle {
     /// Starts a life.
     pub fn new(now: Instant) -> Self {
-        let state = State { phase: Phase::Starting, in_progress: 0, beat_at: now };
+        let state =
+            State { phase: Phase::Starting, in_progress: 0, beat_at: now, checking_since: now };
         Self { state: Mutex::new(state) }
     }
 
@@ -87,16 +90,18 @@
         if gap <= PAUSE_LIMIT {
             return None;
         }
+        state.checking_since = now;
         if state.phase == Phase::Ready {
             state.phase = Phase::Starting;
         }
         Some(gap)
     }
 
-    /// Takes queries from now on. Returns whether this is a change.
-    pub fn ready(&self) -> bool {
+    /// Takes queries from now on, because of news asked for at `asked_at`. News asked for before a
+    /// pause does not count. Returns whether this is a change.
+    pub fn ready(&self, asked_at: Instant) -> bool {
         let mut state = self.state.lock().unwrap();
-        let changed = state.phase == Phase::Starting;
+        let changed = state.phase == Phase::Starting && asked_at >= state.checking_since;
         if changed {
             state.phase = Phase::Ready;
         }
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -82,6 +82,8 @@
     }
 }
 
+/// Weight of a new measurement in the running mean of demand.
+const DEMAND_WEIGHT: f64 = 0.3;
 /// The longest wait that a refusal names.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// The wait that a refusal for concurrency names.
@@ -96,6 +98,27 @@
     in_progress: u32,
     admitted: u64,
     refused: u64,
+    window: Window,
+    demand: Demand,
+}
+
+/// What happened since demand was last measured.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    asked: u64,
+    admitted: u64,
+    effort_us: u64,
+    most_in_progress: u32,
+    most_asked_in_progress: u32,
+}
+
+/// How much of an entry's limits this host uses and asks for, as fractions of the limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Demand {
+    /// In use.
+    pub used: f64,
+    /// Asked for, refusals included.
+    pub asked: f64,
 }
 
 impl EntryLimits {
@@ -108,6 +131,8 @@
             in_progress: 0,
             admitted: 0,
             refused: 0,
+            window: Window::default(),
+            demand: Demand::default(),
         };
         limits.set_share(share, now);
         limits
@@ -125,19 +150,25 @@
         self.queries.fill(now);
         self.effort.fill(now);
         let checked = self.check();
+        self.window.asked += 1;
         match checked {
             Ok(()) => {
                 self.queries.level -= 1.0;
                 self.in_progress += 1;
                 self.admitted += 1;
+                self.window.admitted += 1;
+                self.window.most_in_progress = self.window.most_in_progress.max(self.in_progress);
             }
             Err(_) => self.refused += 1,
         }
+        let asked_in_progress = self.in_progress + u32::from(checked.is_err());
+        self.window.most_asked_in_progress =
+            self.window.most_asked_in_progress.max(asked_in_progress);
         checked
     }
 
     fn check(&self) -> Result<()> {
-        if f64::from(self.in_progress) + 1.0 > self.share.concurrent.max(1.0) {
+        if f64::from(self.in_progress) + 1.0 > self.share.concurrent {
             let reason = Reason::ConcurrencyLimit;
             return Err(OverLimit { reason, retry_after: CONCURRENCY_WAIT });
         }
@@ -161,6 +192,28 @@
     pub fn spend(&mut self, effort_us: u64, now: Instant) {
         self.effort.fill(now);
         self.effort.level -= effort_us as f64;
+        self.window.effort_us += effort_us;
+    }
+
+    /// Measures the demand since the last call, which was `passed` ago.
+    pub fn measure(&mut self, limits: &Limits, passed: Duration) -> Demand {
+        let window = std::mem::take(&mut self.window);
+        self.window.most_in_progress = self.in_progress;
+        self.window.most_asked_in_progress = self.in_progress;
+        let seconds = passed.as_secs_f64().max(0.001);
+        let rate = |count: u64| count as f64 / seconds / limits.queries_per_second;
+        let effort = window.effort_us as f64 / 1_000.0 / seconds / limits.effort_ms_per_second;
+        let busy = |count: u32| f64::from(count) / f64::from(limits.concurrent);
+        let used = rate(window.admitted).max(effort).max(busy(window.most_in_progress));
+        let asked = rate(window.asked).max(effort).max(busy(window.most_asked_in_progress));
+        self.demand.used += (used.min(1.0) - self.demand.used) * DEMAND_WEIGHT;
+        self.demand.asked += (asked.min(1.0) - self.demand.asked) * DEMAND_WEIGHT;
+        self.demand
+    }
+
+    /// Returns the demand measured last.
+    pub fn demand(&self) -> Demand {
+        self.demand
     }
 
     /// Returns the present share.
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
 use serde::Serialize;
 use xitca_web::App;
 use xitca_web::WebContext;
@@ -25,15 +26,20 @@
 use crate::answer::Refusal;
 use crate::client_watch::WatchedListener;
 use crate::daemon::Daemon;
+use crate::daemon::with_sources;
+use crate::http_client::SIGNATURE_HEADER;
 use crate::lifecycle::Phase;
+use crate::peer_protocol::EXCHANGE_PATH;
+use crate::peer_protocol::FORWARD_PATH;
+use crate::peer_protocol::ProtocolError;
+use crate::ticket::TICKET_LIFE;
 
 /// The largest body of a request, in bytes.
 pub const MAX_REQUEST_BYTES: usize = 1 << 20;
-/// Wait named to callers of a daemon that takes no queries.
-const NOT_READY_RETRY: Duration = Duration::from_secs(1);
-
 /// Path of a query.
 pub const QUERY_PATH: &str = "/query";
+/// Path that issues a ticket.
+pub const TICKET_PATH: &str = "/ticket";
 /// Path of the state dump.
 pub const STATE_PATH: &str = "/state";
 /// Path of the charges.
@@ -115,7 +121,7 @@
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
         if let Some(signature) = self.signature.and_then(|s| HeaderValue::try_from(s).ok()) {
-            headers.insert(crate::http_client::SIGNATURE_HEADER, signature);
+            headers.insert(SIGNATURE_HEADER, signature);
         }
         if closing {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -133,7 +139,7 @@
 async fn route(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
     let path = cx.req().uri().path();
     let allowed = match path {
-        QUERY_PATH => Method::POST,
+        QUERY_PATH | TICKET_PATH | EXCHANGE_PATH | FORWARD_PATH => Method::POST,
         STATE_PATH | CHARGES_PATH | LIVE_PATH | READY_PATH => Method::GET,
         _ => return Reply::refusal(404, format!("Path \"{path}\" does not exist")),
     };
@@ -143,6 +149,8 @@
     }
     match path {
         QUERY_PATH => query(cx, daemon).await,
+        TICKET_PATH => ticket(daemon),
+        EXCHANGE_PATH | FORWARD_PATH => peer(cx, daemon).await,
         STATE_PATH => Reply::json(200, &daemon.dump(Instant::now())),
         CHARGES_PATH => Reply::json(200, &daemon.tier.ledger.lock().unwrap().lines()),
         READY_PATH if daemon.lifecycle.phase() != Phase::Ready => Reply::empty(503),
@@ -160,18 +168,55 @@
         Ok(req) => req,
         Err(e) => return Reply::refusal(400, format!("Query does not parse: {e}")),
     };
+    // A ticket's record is repeated in any phase; its run checks the phase itself.
     let _in_progress = match daemon.lifecycle.begin(arrived) {
-        Ok(guard) => guard,
-        Err(phase) => return Reply::query(&not_ready(daemon, phase)),
+        Ok(guard) => Some(guard),
+        Err(_) if req.ticket.is_some() => None,
+        Err(phase) => return Reply::query(&daemon.not_ready(phase).into()),
     };
     let gone = daemon.clients.gone(*cx.req().body().socket_addr());
     Reply::query(&daemon.answer(&req, arrived, gone).await)
 }
 
-fn not_ready(daemon: &Daemon, phase: Phase) -> QueryAnswer {
-    let host = &daemon.settings.host;
-    let message = format!("Host \"{host}\" is {} and takes no queries", phase.name());
-    Refusal::new(Reason::NotReady, message, Some(NOT_READY_RETRY)).into()
+/// Body of the answer to `POST /ticket`.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct TicketAnswer {
+    /// The ticket, to be sent with the request and each resend of it.
+    pub ticket: String,
+    /// How long it may be used, in milliseconds.
+    pub life_ms: u64,
+}
+
+fn ticket(daemon: &Daemon) -> Reply {
+    let phase = daemon.lifecycle.phase();
+    if phase != Phase::Ready {
+        return Reply::query(&daemon.not_ready(phase).into());
+    }
+    let ticket = daemon.issue_ticket(Instant::now());
+    Reply::json(200, &TicketAnswer { ticket, life_ms: TICKET_LIFE.as_millis() as u64 })
+}
+
+async fn peer(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
+    let header = cx.req().headers().get(SIGNATURE_HEADER);
+    let signature = header.and_then(|h| h.to_str().ok()).unwrap_or_default().to_owned();
+    let is_exchange = cx.req().uri().path() == EXCHANGE_PATH;
+    let body = match read_body(cx).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    let answered = if is_exchange {
+        daemon.answer_exchange(&body, &signature)
+    } else {
+        daemon.answer_forward(&body, &signature).await
+    };
+    match answered {
+        Ok(body) => {
+            let signature = daemon.sign_reply(&body);
+            Reply::signed(body, signature)
+        }
+        Err(e @ ProtocolError::Forged) => Reply::refusal(403, e.to_string()),
+        Err(e) => Reply::refusal(400, with_sources(&e)),
+    }
 }
 
 async fn read_body(cx: &Context<'_>) -> Result<BytesMut, Reply> {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -43,6 +43,8 @@
     pub zone: Option<String>,
     /// Address of the platform.
     pub platform: Option<String>,
+    /// Addresses of peers to ask at the start, separated by commas.
+    pub seeds: Option<String>,
     /// Number of worker threads.
     pub workers: Option<String>,
     /// `human` or `json`.
@@ -87,6 +89,8 @@
     pub zone: Zone,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Addresses of peers to ask at the start, before the platform.
+    pub seeds: Vec<SocketAddr>,
     /// Number of worker threads.
     pub workers: usize,
     /// Format of the log.
@@ -111,6 +115,7 @@
             host: fill(self.host, "HOST"),
             zone: fill(self.zone, "ZONE"),
             platform: fill(self.platform, "PLATFORM"),
+            seeds: fill(self.seeds, "SEEDS"),
             workers: fill(self.workers, "WORKERS"),
             log_format: fill(self.log_format, "LOG_FORMAT"),
             log_level: fill(self.log_level, "LOG_LEVEL"),
@@ -131,6 +136,7 @@
             host: required("host", raw.host, "a name of a-z, 0-9, '-', '_' and '.'")?,
             zone: required("zone", raw.zone, "a name of a-z, 0-9, '-', '_' and '.'")?,
             platform: required("platform", raw.platform, "an address such as 127.0.0.1:8000")?,
+            seeds: seeds(raw.seeds)?,
             workers: ranged("workers", raw.workers, default_workers, 1, MAX_WORKERS)?,
             log_format: log_format(raw.log_format)?,
             log_level: optional("log-level", raw.log_level, "error, warn, info, debug or trace")?
@@ -182,6 +188,12 @@
     }
 }
 
+fn seeds(value: Option<String>) -> Result<Vec<SocketAddr>> {
+    let Some(value) = value.filter(|value| !value.is_empty()) else { return Ok(Vec::new()) };
+    let allowed = "addresses such as 127.0.0.1:8100, separated by commas";
+    value.split(',').map(|addr| parse("seeds", addr.trim().to_owned(), allowed)).collect()
+}
+
 fn log_format(value: Option<String>) -> Result<LogFormat> {
     match value.as_deref() {
         None | Some("human") => Ok(LogFormat::Human),
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -8,12 +8,14 @@
 use crate::belief::Usability;
 use crate::counters::CounterValues;
 use crate::ids::EntryName;
+use crate::ids::HostName;
 use crate::ids::IndexName;
 use crate::ids::IndexVersion;
 use crate::ids::Revision;
 use crate::leaf::Leaf;
 use crate::ledger::ChargeLine;
 use crate::limits::HostShare;
+use crate::membership::MemberDump;
 use crate::publication::DocumentKind;
 use crate::publication::View;
 use crate::quarantine::StrikeNews;
@@ -93,6 +95,14 @@
     pub entries: BTreeMap<EntryName, EntryDump>,
     /// Leafs by name.
     pub leafs: BTreeMap<String, LeafDump>,
+    /// Peers.
+    pub members: BTreeMap<HostName, MemberDump>,
+    /// Time since the platform was heard by this host or one that told it, in milliseconds.
+    pub platform_ms_ago: Option<u64>,
+    /// Fractions of limits borrowed; negative when lent.
+    pub loans: BTreeMap<EntryName, f64>,
+    /// Tickets with a record.
+    pub tickets: usize,
     /// Suspected and condemned requests.
     pub quarantine: Vec<StrikeNews>,
     /// Charges.
@@ -170,6 +180,10 @@
                 .iter()
                 .map(|leaf| (leaf.host.name.to_string(), LeafDump::of(leaf, now)))
                 .collect(),
+            members: BTreeMap::new(),
+            platform_ms_ago: None,
+            loans: BTreeMap::new(),
+            tickets: 0,
             quarantine: tier.quarantine.lock().unwrap().news(now),
             charges: tier.ledger.lock().unwrap().lines(),
         }
