cli: tests of several daemons behind a fault-injecting proxy

Cuts, pauses, restarts, stale and silent platform, tickets, crashing requests. Found by them and mended with them: a stop waited 30 s for idle peer connections (now they are closed once requests are finished); a body over the limit closed the connection before the caller read the 413 (now it is read to its end first). Outgoing connections come from the listening address, so that hosts and proxies can tell callers apart.

--- a/bench/src/leaf.rs
+++ b/bench/src/leaf.rs
@@ -333,6 +333,7 @@
             self.crash();
             return None;
         }
+        self.record.note(|sums| *sums.begun.entry(req.kind.clone()).or_default() += 1);
         let cancel = Arc::new(Notify::new());
         self.cancels.lock().unwrap().insert(req.call, cancel.clone());
         let running = Running { shared: self, req: &req, started: Instant::now() };
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod leaf;
 pub mod naive;
 pub mod platform;
+pub mod proxy;
 pub mod work;
--- a/bench/src/naive.rs
+++ b/bench/src/naive.rs
@@ -46,7 +46,7 @@
         let idle = targets.iter().map(|_| Mutex::default()).collect();
         let params = RawValue::from_string("{\"text\":\"lifting\"}".to_owned());
         Self {
-            backend: HttpLeafBackend,
+            backend: HttpLeafBackend::default(),
             targets,
             idle,
             index,
--- a/bench/src/platform.rs
+++ b/bench/src/platform.rs
@@ -84,6 +84,13 @@
         revision
     }
 
+    /// Puts back an older body under the first revision, as a stale copy would have it.
+    pub fn rewind(&self, kind: DocumentKind, body: impl Into<Bytes>) {
+        let published = Published { revision: 1, body: body.into() };
+        self.shared.store.lock().unwrap().present.insert(kind.name(), published);
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
     /// Changes the mood.
     pub fn set_mood(&self, mood: PlatformMood) {
         {
--- a/bench/src/work.rs
+++ b/bench/src/work.rs
@@ -3,14 +3,14 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 
-use jasmineusher_lib::hosts::LeafHost;
-
 /// Sums over all leafs that share this record.
 #[derive(Clone, Debug, Default)]
 pub struct WorkSums {
     /// Effort by kind of request, in microseconds.
     pub effort_us: HashMap<String, u64>,
-    /// Calls that ran, by kind of request.
+    /// Calls that began to run, by kind of request.
+    pub begun: HashMap<String, u64>,
+    /// Calls that ran to their end, by kind of request.
     pub calls: HashMap<String, u64>,
     /// Runs by run key and shard, for requests that must not be doubled.
     pub runs: HashMap<RunKey, u32>,
@@ -55,8 +55,3 @@
         self.sums.lock().unwrap().runs.values().filter(|&&n| n > 1).count()
     }
 }
-
-/// Shows a leaf in messages.
-pub fn leaf_label(host: &LeafHost) -> String {
-    format!("{} at {}", host.name, host.addr)
-}
--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -24,6 +24,8 @@
     help: bool,
     #[options(no_short, help = "address to listen on, such as 127.0.0.1:8100", meta = "ADDR")]
     listen: Option<String>,
+    #[options(no_short, help = "address at which peers reach this daemon", meta = "ADDR")]
+    advertise: Option<String>,
     #[options(no_short, help = "name of this host, as in the host list", meta = "NAME")]
     host: Option<String>,
     #[options(no_short, help = "availability zone of this host", meta = "ZONE")]
@@ -58,6 +60,7 @@
     fn from(flags: Flags) -> Self {
         Self {
             listen: flags.listen,
+            advertise: flags.advertise,
             host: flags.host,
             zone: flags.zone,
             platform: flags.platform,
--- a/cli/tests/test_query_path.rs
+++ b/cli/tests/test_query_path.rs
@@ -136,7 +136,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_that_goes_away_cancels_its_calls_at_the_leafs() {
-    let bed = TestBed::start(DAEMON, small(), 1).await;
+    let shape = FleetShape { replicas: 1, ..small() };
+    let bed = TestBed::start(DAEMON, shape, 1).await;
     for leaf in &bed.fleet.leafs {
         leaf.behave(|behaviour| behaviour.service = Duration::from_secs(30));
     }
@@ -148,16 +149,13 @@
     );
     caller.write_all(req.as_bytes()).await.expect("writes");
     eventually("calls reach the leafs", async || {
-        let state = bed.state(0).await;
-        (state["counters"]["first_calls"].as_u64() == Some(6)).then_some(())
+        (bed.fleet.record.sums().begun.get("lookup") == Some(&6)).then_some(())
     })
     .await;
     drop(caller);
     eventually("calls are cancelled", async || {
         let state = bed.state(0).await;
-        let counters = &state["counters"];
-        let ended = counters["cancels"].as_u64()? + counters["withdrawn"].as_u64()?;
-        (counters["callers_gone"] == 1 && ended >= 6).then_some(())
+        (state["counters"]["callers_gone"] == 1 && state["counters"]["cancels"] == 6).then_some(())
     })
     .await;
     eventually("leafs stop working", async || {
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::exchange::PeerStrikeTeller;
 use crate::exchange::Peers;
 use crate::front::Front;
+use crate::http_client::HttpClient;
 use crate::http_leaf::HttpLeafBackend;
 use crate::lifecycle::Lifecycle;
 use crate::lifecycle::Phase;
@@ -106,11 +107,15 @@
             incarnation: Tier::new_incarnation(),
         };
         let tickets = TicketTable::new(identity.host.clone(), identity.incarnation, now);
-        let tier = Arc::new(Tier::new(identity, Box::new(HttpLeafBackend)));
+        let tier =
+            Arc::new(Tier::new(identity, Box::new(HttpLeafBackend { local: settings.local_ip() })));
         Arc::new_cyclic(|this| Self {
             front: Front::new(tier.clone())
                 .with_strike_teller(Arc::new(PeerStrikeTeller { daemon: this.clone() })),
-            platform: Box::new(HttpPlatform::new(settings.platform)),
+            platform: Box::new(HttpPlatform::new(
+                settings.platform,
+                HttpClient::from_local(settings.local_ip()),
+            )),
             peers: Peers::new(&settings, now),
             tickets: Mutex::new(tickets),
             tier,
@@ -307,7 +312,7 @@
         let server = std::thread::spawn(move || server.wait());
         Event::Listening.info(&format!("host {} on {addr}", daemon.settings.host));
         // Nobody else sets these.
-        let _ = daemon.peers.own_addr.set(addr);
+        let _ = daemon.peers.own_addr.set(daemon.settings.advertise.unwrap_or(addr));
         let _ = daemon.peers.runtime.set(control.handle().clone());
         control::start(&daemon, control.handle());
         Ok(Self { daemon, addr, control: Some(control), handle, server: Some(server) })
@@ -327,7 +332,8 @@
     }
 
     fn end(&mut self) {
-        self.handle.stop(true);
+        // Requests are finished by now; only idle connections are left.
+        self.handle.stop(false);
         if let Some(server) = self.server.take() {
             // The server's own errors are of no use once it has to end.
             let _ = server.join();
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -142,7 +142,7 @@
             archive: Mutex::default(),
             shares: Mutex::new(ShareBook::new(now)),
             keys: KeyRing::new(settings.peer_keys.clone()),
-            client: HttpClient::default(),
+            client: HttpClient::from_local(settings.local_ip()),
             runtime: OnceLock::new(),
             own_addr: OnceLock::new(),
         }
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -1,5 +1,6 @@
 //! Small HTTP client for the platform, for peers and for the operator's command.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -123,17 +124,24 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::from_local(None)
+    }
+}
+
+impl HttpClient {
+    /// Makes a client whose connections come from a local address, so that the called host sees the
+    /// caller's listed address.
+    pub fn from_local(local: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(local);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_max_idle_per_host(2);
         // A resend is the caller's decision.
         builder.retry_canceled_requests(false);
         Self { inner: builder.build(connector) }
     }
-}
 
-impl HttpClient {
     /// Makes a call.
     pub async fn call(&self, call: HttpCall) -> Result<HttpReply> {
         let (peer, path, limit) = (call.peer, call.path.clone(), call.limit);
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 connections to leafs, on `hyper`.
 
+use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::backend::BackendError;
@@ -25,7 +28,10 @@
 
 /// Opens HTTP/1.1 connections.
 #[derive(Debug, Default)]
-pub struct HttpLeafBackend;
+pub struct HttpLeafBackend {
+    /// The address that connections come from.
+    pub local: Option<IpAddr>,
+}
 
 impl LeafBackend for HttpLeafBackend {
     fn connect(
@@ -34,7 +40,7 @@
         limit: Duration,
     ) -> BoxFuture<'_, Result<Box<dyn LeafConnection>>> {
         Box::pin(async move {
-            match tokio::time::timeout(limit, HttpLeafConnection::open(peer)).await {
+            match tokio::time::timeout(limit, HttpLeafConnection::open(peer, self.local)).await {
                 Ok(opened) => opened.map(|conn| Box::new(conn) as Box<dyn LeafConnection>),
                 Err(_) => Err(BackendError::ConnectTimeout { peer, limit }),
             }
@@ -42,6 +48,14 @@
     }
 }
 
+async fn connect(peer: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
+    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(local) = local.filter(|local| local.is_ipv4() == peer.is_ipv4()) {
+        socket.bind(SocketAddr::new(local, 0))?;
+    }
+    socket.connect(peer).await
+}
+
 struct HttpLeafConnection {
     peer: SocketAddr,
     host: header::HeaderValue,
@@ -49,10 +63,9 @@
 }
 
 impl HttpLeafConnection {
-    async fn open(peer: SocketAddr) -> Result<Self> {
-        let stream = TcpStream::connect(peer)
-            .await
-            .map_err(|source| BackendError::Connect { peer, source })?;
+    async fn open(peer: SocketAddr, local: Option<IpAddr>) -> Result<Self> {
+        let stream = connect(peer, local).await;
+        let stream = stream.map_err(|source| BackendError::Connect { peer, source })?;
         // A failure to set the option costs latency only.
         let _ = stream.set_nodelay(true);
         let (sender, conn) = http1::handshake(TokioIo::new(stream))
--- a/lib/src/platform.rs
+++ b/lib/src/platform.rs
@@ -72,8 +72,8 @@
 
 impl HttpPlatform {
     /// Makes a reader of the platform at an address.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self { client: HttpClient::default(), peer }
+    pub fn new(peer: SocketAddr, client: HttpClient) -> Self {
+        Self { client, peer }
     }
 
     async fn get(
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,9 +11,11 @@
 use serde::Serialize;
 use xitca_web::App;
 use xitca_web::WebContext;
+use xitca_web::body::BodyExt;
+use xitca_web::body::RequestBody;
 use xitca_web::body::ResponseBody;
 use xitca_web::bytes::BytesMut;
-use xitca_web::handler::body::Limit;
+use xitca_web::handler::body::Body;
 use xitca_web::handler::handler_service;
 use xitca_web::http::HeaderValue;
 use xitca_web::http::Method;
@@ -36,6 +39,9 @@
 
 /// The largest body of a request, in bytes.
 pub const MAX_REQUEST_BYTES: usize = 1 << 20;
+/// The most bytes of a body that is too large that are read before the answer.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// Path of a query.
 pub const QUERY_PATH: &str = "/query";
 /// Path that issues a ticket.
@@ -219,12 +225,28 @@
     }
 }
 
+/// Reads a body. One that is too large is read to its end without being kept, within reason, since
+/// a caller that is still writing would not see the answer.
 async fn read_body(cx: &Context<'_>) -> Result<BytesMut, Reply> {
-    match cx.extract::<(BytesMut, Limit<MAX_REQUEST_BYTES>)>().await {
-        Ok((body, _)) => Ok(body),
-        Err(_) => {
-            let message = format!("Body could not be read within {MAX_REQUEST_BYTES} bytes");
-            Err(Reply::refusal(413, message))
+    let unreadable = || Reply::refusal(400, "Body could not be read".to_owned());
+    let Ok(Body(body)) = cx.extract::<Body<RequestBody>>().await else {
+        return Err(unreadable());
+    };
+    let mut body = pin!(body);
+    let mut buf = BytesMut::new();
+    let mut size = 0;
+    while let Some(data) = body.as_mut().data().await {
+        let data = data.map_err(|_| unreadable())?;
+        size += data.len();
+        if size <= MAX_REQUEST_BYTES {
+            buf.extend_from_slice(&data);
+        } else if size > MAX_DISCARDED_BYTES {
+            break;
         }
     }
+    if size > MAX_REQUEST_BYTES {
+        let message = format!("Body has more than {MAX_REQUEST_BYTES} bytes");
+        return Err(Reply::refusal(413, message));
+    }
+    Ok(buf)
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon: raw texts from flags and environment variables, and the checked form.
 
 use std::fmt;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 pub struct RawSettings {
     /// Address to listen on.
     pub listen: Option<String>,
+    /// Address at which peers reach this daemon, if it is not the one listened on.
+    pub advertise: Option<String>,
     /// Name of this host, as in the host list.
     pub host: Option<String>,
     /// Availability zone of this host.
@@ -83,6 +86,8 @@
 pub struct Settings {
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Address at which peers reach this daemon, if it is not the one listened on.
+    pub advertise: Option<SocketAddr>,
     /// Name of this host.
     pub host: HostName,
     /// Availability zone of this host.
@@ -105,6 +110,13 @@
     pub shutdown: Duration,
 }
 
+impl Settings {
+    /// Returns the address that outgoing connections come from, if the listening one names a host.
+    pub fn local_ip(&self) -> Option<IpAddr> {
+        Some(self.listen.ip()).filter(|ip| !ip.is_unspecified())
+    }
+}
+
 impl RawSettings {
     /// Fills in what flags left out from environment variables.
     pub fn or_environment(self, env: impl Fn(&str) -> Option<String>) -> Self {
@@ -112,6 +124,7 @@
             |flag: Option<String>, name: &str| flag.or_else(|| env(&format!("{ENV_PREFIX}{name}")));
         Self {
             listen: fill(self.listen, "LISTEN"),
+            advertise: fill(self.advertise, "ADVERTISE"),
             host: fill(self.host, "HOST"),
             zone: fill(self.zone, "ZONE"),
             platform: fill(self.platform, "PLATFORM"),
@@ -133,6 +146,7 @@
         let default_workers = std::thread::available_parallelism().map_or(1, |n| n.get());
         Ok(Self {
             listen: required("listen", raw.listen, "an address such as 127.0.0.1:8100")?,
+            advertise: optional("advertise", raw.advertise, "an address such as 10.0.0.1:8100")?,
             host: required("host", raw.host, "a name of a-z, 0-9, '-', '_' and '.'")?,
             zone: required("zone", raw.zone, "a name of a-z, 0-9, '-', '_' and '.'")?,
             platform: required("platform", raw.platform, "an address such as 127.0.0.1:8000")?,
