lib: tests of the decisions, by hand and by random interleavings

Found by them and mended with them: events that arrived after the outcome was decided still merged shards and sent retries; a loser was cancelled twice; the mean effort of a call counted calls that had not run. A peer that still waits for a loan's answer now says so to a restarted giver.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![deny(missing_docs)]
 
+pub mod bed;
 pub mod fleet;
 pub mod http_service;
 pub mod leaf;
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -113,7 +113,7 @@
 
 /// What this process knows through its peers.
 ///
-/// Lock order: `membership`, `contact`, `archive`, `shares`; all of them before the tier's tables.
+/// Lock order: `membership`, `contact`, `archive`, `awaited`, `shares`; all of them before the tier's tables.
 pub struct Peers {
     /// The peers.
     pub membership: Mutex<Membership>,
@@ -127,6 +127,8 @@
     pub keys: KeyRing,
     /// Calls peers.
     pub client: HttpClient,
+    /// Hosts asked for a loan whose answer is still awaited.
+    awaited: Mutex<Vec<HostName>>,
     /// The runtime of the control loops.
     pub runtime: OnceLock<Handle>,
     /// Where peers reach this process.
@@ -143,6 +145,7 @@
             shares: Mutex::new(ShareBook::new(now)),
             keys: KeyRing::new(settings.peer_keys.clone()),
             client: HttpClient::from_local(settings.local_ip()),
+            awaited: Mutex::default(),
             runtime: OnceLock::new(),
             own_addr: OnceLock::new(),
         }
@@ -158,6 +161,22 @@
         self.contact.lock().unwrap().age(now).is_none_or(|age| age > FENCE)
     }
 
+    /// Notes that an answer with a loan of `giver` may arrive, until the guard is dropped.
+    fn await_loan(&self, giver: Option<&HostName>) -> AwaitedLoan<'_> {
+        let giver = giver.cloned();
+        self.awaited.lock().unwrap().extend(giver.clone());
+        AwaitedLoan { peers: self, giver }
+    }
+
+    /// Whether a loan of an earlier run of `giver` is held or may still arrive.
+    fn may_hold_loan_of(&self, giver: &PeerCard, now: Instant) -> bool {
+        if self.awaited.lock().unwrap().contains(&giver.host) {
+            return true;
+        }
+        let shares = self.shares.lock().unwrap();
+        shares.holds_loan_of(&giver.host, giver.incarnation, now)
+    }
+
     /// Forgets what was heard, after a pause.
     pub fn forget_heard(&self) {
         self.membership.lock().unwrap().forget_heard();
@@ -165,6 +184,20 @@
     }
 }
 
+/// Ends the wait for a loan when dropped.
+struct AwaitedLoan<'a> {
+    peers: &'a Peers,
+    giver: Option<HostName>,
+}
+
+impl Drop for AwaitedLoan<'_> {
+    fn drop(&mut self) {
+        let mut awaited = self.peers.awaited.lock().unwrap();
+        let place = self.giver.as_ref().and_then(|giver| awaited.iter().position(|g| g == giver));
+        place.map(|place| awaited.swap_remove(place));
+    }
+}
+
 /// Exchanges of one daemon.
 impl Daemon {
     fn card(&self) -> PeerCard {
@@ -234,6 +267,7 @@
         starting: bool,
     ) -> Result<ExchangeReply> {
         let asked_at = Instant::now();
+        let _awaited = (!wants.is_empty()).then(|| self.peers.await_loan(peer.host.as_ref()));
         let req = self.exchange_request(peer, wants, starting, asked_at);
         let nonce = req.nonce;
         let counters = &self.tier.counters;
@@ -344,10 +378,7 @@
             let peer = PeerAddr { host: Some(req.from.host.clone()), addr: req.from.addr };
             self.spawn_exchange(peer);
         }
-        let holds_your_loan = {
-            let shares = self.peers.shares.lock().unwrap();
-            shares.holds_loan_of(&req.from.host, req.from.incarnation, now)
-        };
+        let holds_your_loan = self.peers.may_hold_loan_of(&req.from, now);
         let reply = ExchangeReply {
             version: PROTOCOL_VERSION,
             nonce: req.nonce,
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -41,6 +41,8 @@
     pub hedges: u64,
     /// Retries.
     pub retries: u64,
+    /// Calls with reported effort.
+    pub reported_calls: u64,
     /// Effort that leafs reported, in microseconds.
     pub reported_us: u64,
     /// Effort estimated for calls whose leaf could not report, in microseconds.
@@ -58,7 +60,10 @@
         };
         *count = count.saturating_add(1);
         match charge.effort {
-            Effort::Reported(us) => self.reported_us = self.reported_us.saturating_add(us),
+            Effort::Reported(us) => {
+                self.reported_us = self.reported_us.saturating_add(us);
+                self.reported_calls = self.reported_calls.saturating_add(1);
+            }
             Effort::Estimated(us) => {
                 self.estimated_us = self.estimated_us.saturating_add(us);
                 self.estimated_calls = self.estimated_calls.saturating_add(1);
@@ -72,6 +77,7 @@
         self.first_calls = self.first_calls.saturating_add(other.first_calls);
         self.hedges = self.hedges.saturating_add(other.hedges);
         self.retries = self.retries.saturating_add(other.retries);
+        self.reported_calls = self.reported_calls.saturating_add(other.reported_calls);
         self.reported_us = self.reported_us.saturating_add(other.reported_us);
         self.estimated_us = self.estimated_us.saturating_add(other.estimated_us);
         self.estimated_calls = self.estimated_calls.saturating_add(other.estimated_calls);
@@ -79,8 +85,7 @@
 
     /// Returns the mean reported effort per call, in microseconds.
     fn mean_reported_us(&self) -> Option<u64> {
-        let calls = self.first_calls + self.hedges + self.retries;
-        self.reported_us.checked_div(calls.saturating_sub(self.estimated_calls))
+        self.reported_us.checked_div(self.reported_calls)
     }
 }
 
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -337,7 +337,7 @@
     pub fn tick(&mut self, now: Instant, policy: &mut dyn Policy, out: &mut Actions) {
         for shard in self.shard_numbers() {
             let due = self.shard(shard).hedge_at.is_some_and(|at| at <= now);
-            if due && self.suspicion == Suspicion::Clear {
+            if due && self.suspicion == Suspicion::Clear && self.over.is_none() {
                 self.hedge(shard, now, policy, out);
             }
         }
@@ -552,8 +552,9 @@
     }
 
     fn merge(&mut self, shard: ShardNo, hits: Vec<Hit>, out: &mut Actions) {
+        let is_over = self.over.is_some();
         let state = self.shard(shard);
-        if state.merged || state.given_up {
+        if is_over || state.merged || state.given_up {
             return;
         }
         state.merged = true;
@@ -628,7 +629,7 @@
         policy: &mut dyn Policy,
         out: &mut Actions,
     ) {
-        if self.trial != Some(attempt) {
+        if self.trial != Some(attempt) || self.over.is_some() {
             return;
         }
         self.trial = None;
@@ -705,12 +706,13 @@
         out: &mut Actions,
     ) -> Option<Attempt> {
         let CallRecord { leaf: failed, shard, .. } = *self.record(attempt)?;
+        let may_send = self.over.is_none() && self.suspicion != Suspicion::Condemned;
         let snapshot = self.plan.snapshot.clone();
         let state = self.shard(shard);
         if state.merged || state.live > 0 {
             return None;
         }
-        let allowed = state.tried.len() < MAX_CALLS_PER_SHARD;
+        let allowed = may_send && state.tried.len() < MAX_CALLS_PER_SHARD;
         let choice = allowed
             .then(|| policy.choose(snapshot.replicas(shard), &state.tried, Purpose::Retry, now))
             .flatten()
@@ -748,6 +750,7 @@
     fn finish(&mut self, reason: Reason, out: &mut Actions) {
         self.over = Some(reason);
         out.sends.clear();
+        out.cancels.clear();
         let first = self.plan.first_attempt.0;
         let live = self.calls.iter().enumerate().filter(|(_, c)| c.state == CallState::Live);
         out.cancels.extend(live.map(|(i, _)| Attempt(first + i as u32)));
