--- a/bench/src/leaf.rs
+++ b/bench/src/leaf.rs
@@ -62,8 +62,10 @@
     pub cold_calls: u32,
     /// Factor on the time of a cold call.
     pub cold_factor: f64,
-    /// Takes nothing new.
+    /// Takes nothing new, and says so.
     pub draining: bool,
+    /// Is leaving in the host list's eyes.
+    pub listed_leaving: bool,
     /// Runs calls but breaks the connection instead of answering.
     pub mute: bool,
     /// Answers with another call's identity.
@@ -84,6 +86,7 @@
             cold_calls: 0,
             cold_factor: 5.0,
             draining: false,
+            listed_leaving: false,
             mute: false,
             crossed: false,
             restart: Duration::from_secs(1),
@@ -126,7 +129,14 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Leaving {
+    began: Option<Instant>,
+    last_call: Option<Instant>,
+}
+
 struct Shared {
+    leaving: Mutex<Leaving>,
     host: LeafHost,
     behaviour: Mutex<Behaviour>,
     holdings: Mutex<Holdings>,
@@ -161,6 +171,7 @@
         let listener = bind(host.addr)?;
         host.addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            leaving: Mutex::default(),
             slots: Semaphore::new(host.slots as usize),
             host,
             behaviour: Mutex::new(behaviour),
@@ -180,8 +191,9 @@
 
     /// Returns the leaf as the host list should name it.
     pub fn host(&self) -> LeafHost {
-        let draining = self.shared.behaviour.lock().unwrap().draining;
-        let state = if draining { HostState::Leaving } else { HostState::Live };
+        let behaviour = self.shared.behaviour.lock().unwrap().clone();
+        let leaving = behaviour.draining || behaviour.listed_leaving;
+        let state = if leaving { HostState::Leaving } else { HostState::Live };
         LeafHost { state, ..self.shared.host.clone() }
     }
 
@@ -200,6 +212,21 @@
         self.shared.crash();
     }
 
+    /// Begins to leave; `says_so` makes the leaf refuse new calls with that answer.
+    pub fn begin_to_leave(&self, says_so: bool) {
+        self.behave(|behaviour| {
+            behaviour.draining = says_so;
+            behaviour.listed_leaving = true;
+        });
+        self.shared.leaving.lock().unwrap().began = Some(Instant::now());
+    }
+
+    /// Returns the time from the first sign of leaving to the last new call.
+    pub fn last_new_call_after_leaving(&self) -> Option<Duration> {
+        let leaving = self.shared.leaving.lock().unwrap();
+        Some(leaving.last_call? - leaving.began?)
+    }
+
     /// Stops or revives the leaf.
     pub fn kill(&self, killed: bool) {
         self.shared.killed.send_replace(killed);
@@ -298,9 +325,18 @@
         self.life.send_modify(|life| *life += 1);
     }
 
+    fn note_if_leaving(&self, now: Instant) {
+        let mut leaving = self.leaving.lock().unwrap();
+        if leaving.began.is_some() {
+            leaving.last_call = Some(now);
+            self.record.note(|sums| sums.calls_while_leaving += 1);
+        }
+    }
+
     async fn search(&self, req: OwnedLeafRequest) -> Option<LeafAnswer> {
         let arrived = Instant::now();
         let behaviour = self.behaviour.lock().unwrap().clone();
+        self.note_if_leaving(arrived);
         if behaviour.draining {
             self.record.note(|sums| sums.calls_while_draining += 1);
             return Some(self.answer(&req, LeafStatus::Draining, 0));
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,92 @@
+//! `bench`: runs experiments and writes their records, tables and plots.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use jasmineusher_bench::exp_faults;
+use jasmineusher_bench::exp_fleet;
+use jasmineusher_bench::exp_latency;
+use jasmineusher_bench::experiment::Experiment;
+use jasmineusher_bench::experiment::Kind;
+use jasmineusher_bench::experiment::Workshop;
+use jasmineusher_bench::report::Record;
+use jasmineusher_bench::report::page;
+use jasmineusher_bench::report::write;
+
+/// Exit code for a wrong use of the command.
+const EXIT_USAGE: u8 = 2;
+/// Start of the page of results.
+const PAGE_HEAD: &str = include_str!("page_head.md");
+
+#[derive(Debug, Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "experiment files")]
+    files: Vec<String>,
+    #[options(no_short, help = "folder of records (default: bench/records)", meta = "DIR")]
+    records: Option<String>,
+    #[options(
+        no_short,
+        help = "page to write from all records (default: docs/BENCHMARKS.md)",
+        meta = "FILE"
+    )]
+    page: Option<String>,
+    #[options(no_short, help = "the daemon's program (default: beside this one)", meta = "FILE")]
+    daemon: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    match run(&flags) {
+        Ok(all_met) if all_met => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("bench: {}", jasmineusher_lib::daemon::with_sources(&*e));
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run(flags: &Flags) -> Result<bool, Box<dyn std::error::Error>> {
+    let records = PathBuf::from(flags.records.as_deref().unwrap_or("bench/records"));
+    let page_file = PathBuf::from(flags.page.as_deref().unwrap_or("docs/BENCHMARKS.md"));
+    let daemon = match &flags.daemon {
+        Some(daemon) => PathBuf::from(daemon),
+        None => std::env::current_exe()?.with_file_name("jasmineusherd"),
+    };
+    let plots = page_file.parent().unwrap_or(Path::new(".")).join("plots");
+    std::fs::create_dir_all(&plots)?;
+    let workshop = Workshop { daemon, plots };
+    let mut all_met = true;
+    for file in &flags.files {
+        let experiment = Experiment::load(Path::new(file))?;
+        eprintln!("bench: {} ({}) ...", experiment.id, experiment.title);
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        let record = runtime.block_on(perform(&experiment, &workshop));
+        runtime.shutdown_background();
+        println!("{}", record.to_markdown());
+        all_met &= record.verdicts.iter().all(|verdict| verdict.met);
+        record.save(&records)?;
+    }
+    write(&page_file, &page(&Record::load_all(&records)?, PAGE_HEAD))?;
+    Ok(all_met)
+}
+
+async fn perform(experiment: &Experiment, workshop: &Workshop) -> Record {
+    match experiment.kind {
+        Kind::Overhead => exp_latency::overhead(experiment, workshop).await,
+        Kind::Tail => exp_latency::tail(experiment, workshop).await,
+        Kind::Tradeoff => exp_latency::tradeoff(experiment, workshop).await,
+        Kind::Overload => exp_latency::overload(experiment, workshop).await,
+        Kind::Crash => exp_faults::crash(experiment, workshop).await,
+        Kind::Charges => exp_faults::charges(experiment, workshop).await,
+        Kind::Drain => exp_faults::drain(experiment, workshop).await,
+        Kind::Tickets => exp_faults::tickets(experiment, workshop).await,
+        Kind::Change => exp_fleet::change(experiment, workshop).await,
+        Kind::Limits => exp_fleet::limits(experiment, workshop).await,
+        Kind::Control => todo!(),
+    }
+}
--- a/bench/src/work.rs
+++ b/bench/src/work.rs
@@ -20,8 +20,10 @@
     pub refused_connections: u64,
     /// Calls shed.
     pub sheds: u64,
-    /// Calls that came to a leaf after it had started to leave.
+    /// Calls that a leaf refused because it said that it is leaving.
     pub calls_while_draining: u64,
+    /// Calls that came to a leaf after its first sign of leaving.
+    pub calls_while_leaving: u64,
 }
 
 /// Identifies work that must run at most once.
