gate: learn the ordinary queue's pace, and admit only half the deadline of it

Cause: an ordinary query's expected wait was computed from the slots alone, though urgent calls take them first, so that twice too many were admitted; most then lost single shards to the deadline after the others had run. 'What is left' now counts the capacity by the effort that leafs measured. shares: a host that lends keeps the larger of 5% of its share and 1.1 times its use, not their sum.

--- a/bench/src/exp_latency.rs
+++ b/bench/src/exp_latency.rs
@@ -354,11 +354,13 @@
         let results = run(&streams, experiment.time()).await;
         let calls = CallCounts::read(&bed).await.since(before);
         let (urgent, ordinary) = (&results[0], &results[1]);
-        let left = (capacity - urgent_rate) * experiment.seconds;
+        let real_capacity = f64::from(experiment.slots) / mean_effort(&bed.fleet).as_secs_f64();
+        let left = (real_capacity - urgent_rate) * experiment.seconds;
         rows.push(
             Row::new(format!("{factor}x capacity"))
                 .with("urgent in time %", urgent.in_time as f64 / urgent.sent as f64 * 100.0)
                 .with("urgent p99 ms", milliseconds(&urgent.latency, 0.99))
+                .with("capacity by measured effort, queries a second", real_capacity)
                 .with("ordinary sent", ordinary.sent as f64)
                 .with("ordinary in time", ordinary.in_time as f64)
                 .with("ordinary goodput of what is left %", ordinary.in_time as f64 / left * 100.0)
@@ -390,6 +392,14 @@
     record(experiment, rows, verdicts)
 }
 
+/// Returns the mean time that leafs took per call, as they measured it.
+fn mean_effort(fleet: &Fleet) -> Duration {
+    let sums = fleet.record.sums();
+    let (effort_us, calls) =
+        (sums.effort_us.values().sum::<u64>(), sums.calls.values().sum::<u64>());
+    Duration::from_micros(effort_us / calls.max(1))
+}
+
 /// Reads a number from a state dump.
 pub fn number(state: &Value, pointer: &str) -> f64 {
     state.pointer(pointer).and_then(Value::as_f64).unwrap_or(0.0)
--- a/bench/src/http_service.rs
+++ b/bench/src/http_service.rs
@@ -13,6 +13,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use jasmineusher_lib::http_client::REVISION_HEADER;
+use jasmineusher_lib::http_client::SIGNATURE_HEADER;
 use tokio::net::TcpStream;
 
 /// A request that was read whole.
@@ -33,6 +35,8 @@
     pub status: u16,
     /// The revision named in the answer.
     pub revision: Option<u64>,
+    /// The signature of a peer message.
+    pub signature: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -40,12 +44,12 @@
 impl StandInReply {
     /// Makes an answer without a body.
     pub fn empty(status: u16) -> Self {
-        Self { status, revision: None, body: Bytes::new() }
+        Self { status, revision: None, signature: None, body: Bytes::new() }
     }
 
     /// Makes an answer with a body.
     pub fn ok(body: impl Into<Bytes>) -> Self {
-        Self { status: 200, revision: None, body: body.into() }
+        Self { status: 200, revision: None, signature: None, body: body.into() }
     }
 }
 
@@ -78,7 +82,10 @@
     let reply = handler(StandInRequest { path, query, body }).await.ok_or(BrokenConnection)?;
     let mut response = Response::builder().status(reply.status);
     if let Some(revision) = reply.revision {
-        response = response.header("x-revision", revision);
+        response = response.header(REVISION_HEADER, revision);
+    }
+    if let Some(signature) = reply.signature {
+        response = response.header(SIGNATURE_HEADER, signature);
     }
     response.body(Full::new(reply.body)).map_err(|_| BrokenConnection)
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use jasmineusher_bench::exp_control;
 use jasmineusher_bench::exp_faults;
 use jasmineusher_bench::exp_fleet;
 use jasmineusher_bench::exp_latency;
@@ -87,6 +88,6 @@
         Kind::Tickets => exp_faults::tickets(experiment, workshop).await,
         Kind::Change => exp_fleet::change(experiment, workshop).await,
         Kind::Limits => exp_fleet::limits(experiment, workshop).await,
-        Kind::Control => todo!(),
+        Kind::Control => exp_control::control(experiment, workshop).await,
     }
 }
--- /dev/null
+++ b/bench/src/peers.rs
@@ -0,0 +1,154 @@
+//! Stand-in peers: answer and send exchanges for thousands of listed hosts from one address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use jasmineusher_lib::distribution::Archive;
+use jasmineusher_lib::distribution::revisions;
+use jasmineusher_lib::hosts::LeafRegistry;
+use jasmineusher_lib::http_client::HttpCall;
+use jasmineusher_lib::http_client::HttpClient;
+use jasmineusher_lib::ids::HostName;
+use jasmineusher_lib::ids::Incarnation;
+use jasmineusher_lib::ids::Zone;
+use jasmineusher_lib::lifecycle::Phase;
+use jasmineusher_lib::peer_protocol::EXCHANGE_PATH;
+use jasmineusher_lib::peer_protocol::ExchangeReply;
+use jasmineusher_lib::peer_protocol::ExchangeRequest;
+use jasmineusher_lib::peer_protocol::PROTOCOL_VERSION;
+use jasmineusher_lib::peer_protocol::PeerCard;
+use jasmineusher_lib::peer_protocol::REPLY_PURPOSE;
+use jasmineusher_lib::peer_protocol::REQUEST_PURPOSE;
+use jasmineusher_lib::peer_protocol::decode;
+use jasmineusher_lib::peer_protocol::encode;
+use jasmineusher_lib::publication::Document;
+use jasmineusher_lib::publication::View;
+use jasmineusher_lib::settings::PeerKey;
+use jasmineusher_lib::signature::KeyRing;
+use tokio::net::TcpListener;
+
+use crate::bed::BED_KEY;
+use crate::http_service::StandInReply;
+use crate::http_service::StandInRequest;
+use crate::http_service::serve_connection;
+
+/// Time allowed for an exchange.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
+
+struct Shared {
+    addr: SocketAddr,
+    zone: Zone,
+    keys: KeyRing,
+    registry: LeafRegistry,
+    known: Mutex<Known>,
+    client: HttpClient,
+}
+
+#[derive(Default)]
+struct Known {
+    view: View,
+    archive: Archive,
+}
+
+/// Running stand-in peers. They end when their runtime does.
+#[derive(Clone)]
+pub struct StandInPeers {
+    shared: Arc<Shared>,
+}
+
+impl StandInPeers {
+    /// Binds the address of all peers and serves in the present runtime.
+    pub async fn start(zone: Zone) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let shared = Arc::new(Shared {
+            addr: listener.local_addr()?,
+            zone,
+            keys: KeyRing::new(vec![PeerKey(BED_KEY.into())]),
+            registry: LeafRegistry::default(),
+            known: Mutex::default(),
+            client: HttpClient::default(),
+        });
+        let handler = {
+            let shared = shared.clone();
+            Arc::new(move |req| answer(shared.clone(), req))
+        };
+        tokio::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(serve_connection(stream, handler.clone()));
+                }
+            }
+        });
+        Ok(Self { shared })
+    }
+
+    /// Returns the address of all peers.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Gives the peers a document, as if they had heard it.
+    pub fn hear(&self, document: Document) {
+        let mut known = self.shared.known.lock().unwrap();
+        let old = known.view.document(document.kind).cloned();
+        let next = known.view.next(document.clone(), &self.shared.registry);
+        known.view = next.expect("the bench publishes sound documents");
+        known.archive.replaced(old.as_ref(), &document);
+    }
+
+    /// Sends an exchange to a daemon in the name of a host.
+    pub async fn exchange(&self, from: &HostName, to: &HostName, addr: SocketAddr) -> bool {
+        let shared = &self.shared;
+        let req = ExchangeRequest {
+            version: PROTOCOL_VERSION,
+            to: Some(to.clone()),
+            nonce: 1,
+            from: shared.card(from.clone()),
+            revisions: revisions(&shared.known.lock().unwrap().view),
+            platform_age_ms: Some(100),
+            strikes: Vec::new(),
+            drains: Vec::new(),
+            wants: Vec::new(),
+            starting: false,
+        };
+        let body = encode(&req);
+        let signature = Some(shared.keys.sign(REQUEST_PURPOSE, &body));
+        let call = HttpCall::post(addr, EXCHANGE_PATH, body.into(), EXCHANGE_LIMIT);
+        shared.client.call(HttpCall { signature, ..call }).await.is_ok_and(|r| r.status == 200)
+    }
+}
+
+impl Shared {
+    fn card(&self, host: HostName) -> PeerCard {
+        PeerCard {
+            host,
+            zone: self.zone.clone(),
+            addr: self.addr,
+            incarnation: Incarnation(1),
+            phase: Phase::Ready,
+        }
+    }
+}
+
+async fn answer(shared: Arc<Shared>, req: StandInRequest) -> Option<StandInReply> {
+    let req: ExchangeRequest = decode(&req.body).ok()?;
+    let known = shared.known.lock().unwrap();
+    let reply = ExchangeReply {
+        version: PROTOCOL_VERSION,
+        nonce: req.nonce,
+        from: shared.card(req.to.clone()?),
+        revisions: revisions(&known.view),
+        platform_age_ms: Some(100),
+        strikes: Vec::new(),
+        drains: Vec::new(),
+        transfers: known.archive.transfers(&known.view, &req.revisions),
+        loans: Vec::new(),
+        holds_your_loan: false,
+    };
+    drop(known);
+    let body = encode(&reply);
+    let signature = shared.keys.sign(REPLY_PURPOSE, &body);
+    Some(StandInReply { signature: Some(signature), ..StandInReply::ok(body) })
+}
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -15,6 +15,9 @@
 /// Factor by which a shed shrinks the window.
 const WINDOW_CUT: f64 = 0.5;
 
+/// Weight of a new sample in the running mean of the ordinary queue's pace.
+const PACE_WEIGHT: f64 = 0.1;
+
 /// How a call that had a slot ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
@@ -73,6 +76,28 @@
     urgent: BinaryHeap<Reverse<Waiter<T>>>,
     ordinary: BinaryHeap<Reverse<Waiter<T>>>,
     next_number: u64,
+    pace: OrdinaryPace,
+}
+
+/// Time between two starts from the ordinary queue while it is not empty. It shows what urgent calls
+/// leave.
+#[derive(Debug, Default)]
+struct OrdinaryPace {
+    mean: Duration,
+    last_start: Option<Instant>,
+}
+
+impl OrdinaryPace {
+    fn started(&mut self, now: Instant) {
+        if let Some(last) = self.last_start.replace(now) {
+            let sample = now.saturating_duration_since(last);
+            self.mean = self.mean.mul_f64(1.0 - PACE_WEIGHT) + sample.mul_f64(PACE_WEIGHT);
+        }
+    }
+
+    fn queue_is_empty(&mut self) {
+        self.last_start = None;
+    }
 }
 
 impl<T> Gate<T> {
@@ -85,6 +110,7 @@
             urgent: BinaryHeap::new(),
             ordinary: BinaryHeap::new(),
             next_number: 0,
+            pace: OrdinaryPace::default(),
         }
     }
 
@@ -140,7 +166,12 @@
             Class::Ordinary => self.urgent.len() + self.ordinary.len(),
         };
         let behind = more.saturating_sub(free) as usize;
-        service.mul_f64((ahead + behind + 1) as f64 / f64::from(self.allowed()))
+        let calls_before = (ahead + behind + 1) as f64;
+        let by_slots = service.mul_f64(calls_before / f64::from(self.allowed()));
+        match class {
+            Class::Urgent => by_slots,
+            Class::Ordinary => by_slots.max(self.pace.mean.mul_f64(calls_before)),
+        }
     }
 
     /// Gives a slot back and returns the tokens of the waiters that get one now.
@@ -160,9 +191,7 @@
     fn admit_waiters(&mut self, now: Instant) -> Vec<T> {
         let mut admitted = Vec::new();
         while self.in_flight < self.allowed() {
-            let Some(Reverse(waiter)) = self.urgent.pop().or_else(|| self.ordinary.pop()) else {
-                break;
-            };
+            let Some(Reverse(waiter)) = self.next_waiter(now) else { break };
             if waiter.deadline > now {
                 self.in_flight += 1;
                 admitted.push(waiter.token);
@@ -171,6 +200,18 @@
         admitted
     }
 
+    fn next_waiter(&mut self, now: Instant) -> Option<Reverse<Waiter<T>>> {
+        if let Some(waiter) = self.urgent.pop() {
+            return Some(waiter);
+        }
+        let waiter = self.ordinary.pop()?;
+        self.pace.started(now);
+        if self.ordinary.is_empty() {
+            self.pace.queue_is_empty();
+        }
+        Some(waiter)
+    }
+
     /// Returns the number of calls in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -13,6 +13,7 @@
 use crate::answer::QueryAnswer;
 use crate::answer::Reason;
 use crate::answer::Refusal;
+use crate::catalogue::Class;
 use crate::catalogue::Entry;
 use crate::catalogue::OnVersionLoss;
 use crate::ids::Attempt;
@@ -28,6 +29,15 @@
 /// The most calls that one shard gets in one query, hedges and retries included.
 pub const MAX_CALLS_PER_SHARD: usize = 4;
 
+/// Share of the remaining time that the expected waits of a new query may take. The rest covers the
+/// spread of real waits over many shards.
+fn queueing_share(class: Class) -> f64 {
+    match class {
+        Class::Urgent => 0.8,
+        Class::Ordinary => 0.5,
+    }
+}
+
 /// Why a leaf call is made.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -220,8 +230,9 @@
         }
         let needed = self.needed();
         let (_, decisive, _) = waits.select_nth_unstable(needed - 1);
-        if *decisive > remaining {
-            self.excess_wait = Some(*decisive - remaining);
+        let allowed = remaining.mul_f64(queueing_share(self.plan.entry.class));
+        if *decisive > allowed {
+            self.excess_wait = Some(*decisive - allowed);
             return self.finish(Reason::Overloaded, out);
         }
         self.send_first_calls(&choices, now, policy, out);
--- a/lib/src/shares.rs
+++ b/lib/src/shares.rs
@@ -28,9 +28,9 @@
 /// Time after a change of the host list before a share grows by it.
 const GROW_AFTER: Duration = Duration::from_secs(13);
 /// Part of its own share that a host never lends.
-const KEPT: f64 = 0.1;
+const KEPT: f64 = 0.05;
 /// Factor on a host's own use that it keeps free when it lends.
-const HEADROOM: f64 = 1.2;
+const HEADROOM: f64 = 1.1;
 
 const _: () = assert!(LEASE_MARGIN.as_millis() > PAUSE_LIMIT.as_millis());
 const _: () = assert!(GROW_AFTER.as_millis() >= FENCE.as_millis() + LEASE_MARGIN.as_millis());
@@ -226,7 +226,8 @@
         let Asked { entry, borrower, wanted, used, .. } = *asked;
         let own = self.seat?.fraction();
         let lent_to_others = self.lent_out(entry, now) - self.lent_to(entry, borrower, now);
-        let free = own * (1.0 - KEPT) - lent_to_others - used * HEADROOM;
+        let kept = (own * KEPT).max(used * HEADROOM);
+        let free = own - kept - lent_to_others;
         let fraction = free.min(wanted);
         if fraction.is_nan() || fraction < own * SMALLEST_LOAN {
             return None;
