--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -9,10 +9,15 @@
 use jasmineusher_lib::daemon::with_sources;
 use jasmineusher_lib::settings::RawSettings;
 use jasmineusher_lib::settings::Settings;
+use mimalloc::MiMalloc;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+/// Leaf calls allocate small buffers on one thread and free them on another.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 /// Exit code for a wrong setting.
 const EXIT_SETTINGS: u8 = 2;
 
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::thread::ThreadId;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,7 @@
 struct HttpLeafConnection {
     peer: SocketAddr,
     host: header::HeaderValue,
+    home: ThreadId,
     sender: http1::SendRequest<Full<Bytes>>,
 }
 
@@ -76,7 +78,7 @@
             let _ = conn.await;
         });
         let host = header::HeaderValue::try_from(peer.to_string()).expect("an address is ASCII");
-        Ok(Self { peer, host, sender })
+        Ok(Self { peer, host, home: std::thread::current().id(), sender })
     }
 
     async fn run(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
@@ -108,6 +110,10 @@
         Box::pin(self.run(path, body))
     }
 
+    fn home(&self) -> ThreadId {
+        self.home
+    }
+
     fn is_usable(&self) -> bool {
         !self.sender.is_closed()
     }
