relays: batched calls through two hosts of a leaf's zone above its limit

Cause: with more daemons than a leaf accepts connections, a share of one connection each passes the limit. Now rendezvous hashing gives each leaf two relays in its zone; other hosts send them batches of what has gathered, and take in each call's end as a signed frame when it comes. Queueing by class, the clock check and cancels are the relay's; deadline, coverage and charge stay the front's.

--- a/bench/src/exp_latency.rs
+++ b/bench/src/exp_latency.rs
@@ -109,12 +109,13 @@
         let rate = experiment.rate;
         run(&[stream(&bed, "lookup", rate)], WARM_UP).await;
         let before = CallCounts::read(&bed).await;
-        let cpu_before = processor_time(bed.daemons[0].pid()).unwrap_or_default();
         let tier = run(&[stream(&bed, "lookup", rate)], experiment.time()).await.remove(0);
-        let cpu = processor_time(bed.daemons[0].pid()).unwrap_or_default() - cpu_before;
         let calls = CallCounts::read(&bed).await.since(before);
         run_naive(&bed.fleet, rate, WARM_UP).await;
         let naive = run_naive(&bed.fleet, rate, experiment.time()).await;
+        // Where the processor time is measured, leafs are called at the same rate for each size.
+        let busy_rate = experiment.processor_rate * 30.0 / f64::from(leafs);
+        let busy = processor_per_call(&bed, busy_rate, experiment.time()).await;
         let p50 = milliseconds(&tier.latency, 0.5);
         let naive_p50 = milliseconds(&naive, 0.5);
         rows.push(
@@ -124,7 +125,7 @@
                 .with("added p50 ms", p50 - naive_p50)
                 .with("tier p99 ms", milliseconds(&tier.latency, 0.99))
                 .with("naive p99 ms", milliseconds(&naive, 0.99))
-                .with("us of processor per leaf call", per_call_us(cpu, calls))
+                .with("us of processor per leaf call", busy)
                 .with("extra calls %", calls.extra_share() * 100.0)
                 .with("untruthful answers", tier.untruthful as f64),
         );
@@ -148,7 +149,15 @@
     record(experiment, rows, verdicts)
 }
 
-fn per_call_us(cpu: Duration, calls: CallCounts) -> f64 {
+/// Returns the processor time of the first daemon per leaf call at a rate of queries, in
+/// microseconds.
+async fn processor_per_call(bed: &Bed, rate: f64, time: Duration) -> f64 {
+    let pid = bed.daemons[0].pid();
+    let before = CallCounts::read(bed).await;
+    let cpu_before = processor_time(pid).unwrap_or_default();
+    run(&[stream(bed, "lookup", rate)], time).await;
+    let cpu = processor_time(pid).unwrap_or_default() - cpu_before;
+    let calls = CallCounts::read(bed).await.since(before);
     cpu.as_secs_f64() * 1e6 / (calls.first + calls.extra).max(1.0)
 }
 
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -101,6 +101,9 @@
     /// Queries a second.
     #[serde(default = "hundred")]
     pub rate: f64,
+    /// Queries a second where processor time is measured.
+    #[serde(default = "hundred")]
+    pub processor_rate: f64,
     /// Time of each measurement, in seconds.
     pub seconds: f64,
     /// Number of whatever the kind counts: changes, tickets, resends.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -12,14 +12,14 @@
 use jasmineusher_bench::experiment::Experiment;
 use jasmineusher_bench::experiment::Kind;
 use jasmineusher_bench::experiment::Workshop;
+use jasmineusher_bench::report::PAGE_HEAD;
 use jasmineusher_bench::report::Record;
 use jasmineusher_bench::report::page;
+use jasmineusher_bench::report::with_tables;
 use jasmineusher_bench::report::write;
 
 /// Exit code for a wrong use of the command.
 const EXIT_USAGE: u8 = 2;
-/// Start of the page of results.
-const PAGE_HEAD: &str = include_str!("page_head.md");
 
 #[derive(Debug, Options)]
 struct Flags {
@@ -72,7 +72,12 @@
         all_met &= record.verdicts.iter().all(|verdict| verdict.met);
         record.save(&records)?;
     }
-    write(&page_file, &page(&Record::load_all(&records)?, PAGE_HEAD))?;
+    let records = Record::load_all(&records)?;
+    write(&page_file, &page(&records, PAGE_HEAD))?;
+    let capacity = page_file.with_file_name("CAPACITY.md");
+    if let Ok(text) = std::fs::read_to_string(&capacity) {
+        write(&capacity, &with_tables(&text, &records))?;
+    }
     Ok(all_met)
 }
 
--- a/bench/src/peers.rs
+++ b/bench/src/peers.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpListener;
 
 use crate::bed::BED_KEY;
+use crate::fleet::name;
 use crate::http_service::StandInReply;
 use crate::http_service::StandInRequest;
 use crate::http_service::serve_connection;
@@ -93,7 +94,7 @@
     pub fn hear(&self, document: Document) {
         let mut known = self.shared.known.lock().unwrap();
         let old = known.view.document(document.kind).cloned();
-        let next = known.view.next(document.clone(), &self.shared.registry);
+        let next = known.view.next(document.clone(), &self.shared.registry, &name("host-1"));
         known.view = next.expect("the bench publishes sound documents");
         known.archive.replaced(old.as_ref(), &document);
     }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -176,6 +176,33 @@
     format!("{head}\n{}", sections.join("\n"))
 }
 
+/// Start of the page of results.
+pub const PAGE_HEAD: &str = include_str!("page_head.md");
+/// Start of the mark before a table in a page; the record's id follows.
+const TABLE_MARK: &str = "<!-- record ";
+/// Mark after a table in a page.
+const TABLE_END: &str = "<!-- end of record -->";
+
+/// Writes the tables of records into a page, between marks such as `<!-- record b9 -->` and
+/// `<!-- end of record -->`. A mark without a record keeps what stands there.
+pub fn with_tables(page: &str, records: &[Record]) -> String {
+    let mut parts = page.split(TABLE_MARK);
+    let mut text = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        text.push_str(TABLE_MARK);
+        let id = part.split(' ').next().unwrap_or_default();
+        let record = records.iter().find(|record| record.id == id);
+        match (record, part.find(TABLE_END)) {
+            (Some(record), Some(end)) => {
+                let table = record.table();
+                text.push_str(&format!("{id} -->\n\n{table}\n{}", &part[end..]));
+            }
+            _ => text.push_str(part),
+        }
+    }
+    text
+}
+
 /// A line of a plot.
 #[derive(Clone, Debug)]
 pub struct Line {
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -60,6 +60,9 @@
     /// A daemon cannot be asked.
     #[error("Asking the daemon failed")]
     Daemon(#[source] jasmineusher_lib::http_client::HttpClientError),
+    /// A query has no answer.
+    #[error("Query has no answer")]
+    Query(#[source] jasmineusher_lib::client::ClientError),
     /// A daemon answered something that does not parse.
     #[error("Answer of daemon {addr} does not parse")]
     Answer {
--- a/cli/src/commands/query.rs
+++ b/cli/src/commands/query.rs
@@ -3,14 +3,13 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gumdrop::Options;
+use jasmineusher_lib::answer::DEFAULT_HITS;
 use jasmineusher_lib::answer::OutcomeKind;
 use jasmineusher_lib::answer::QueryAnswer;
-use jasmineusher_lib::http_client::HttpCall;
-use jasmineusher_lib::http_client::HttpClient;
-use jasmineusher_lib::server::QUERY_PATH;
-use serde_json::json;
+use jasmineusher_lib::answer::QueryRequest;
+use jasmineusher_lib::client::TierClient;
+use serde_json::value::RawValue;
 
 use super::CommandError;
 use super::Result;
@@ -18,7 +17,7 @@
 use super::parse_addrs;
 use super::usage;
 
-/// Time allowed beyond the longest deadline.
+/// Time allowed where none is named.
 const QUERY_LIMIT: Duration = Duration::from_secs(65);
 
 /// Flags of `query`.
@@ -26,7 +25,7 @@
 pub struct QueryFlags {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "addresses of daemons; the first is asked", meta = "ADDRS")]
+    #[options(help = "addresses of daemons; the first is asked first", meta = "ADDRS")]
     daemon: Vec<String>,
     #[options(help = "name of the catalogue entry", meta = "NAME")]
     entry: Option<String>,
@@ -36,15 +35,19 @@
     hits: Option<usize>,
     #[options(no_short, help = "a shorter deadline than the entry's", meta = "MS")]
     deadline_ms: Option<u64>,
+    #[options(no_short, help = "a ticket; without one, it is got where needed", meta = "TICKET")]
+    ticket: Option<String>,
+    #[options(no_short, help = "longest time for sends and resends (default: 65000)", meta = "MS")]
+    limit_ms: Option<u64>,
     #[options(no_short, help = "print the answer as JSON")]
     json: bool,
 }
 
 /// Runs the command. Exits with 0 for a complete answer, 1 otherwise.
 pub fn run(flags: QueryFlags) -> Result<ExitCode> {
-    let addrs = parse_addrs(&flags.daemon)?;
-    let body = body(&flags)?;
-    let answer = block_on(send(addrs[0], body))??;
+    let client = TierClient::new(parse_addrs(&flags.daemon)?);
+    let limit = flags.limit_ms.map_or(QUERY_LIMIT, Duration::from_millis);
+    let answer = block_on(client.query(request(&flags)?, limit))?.map_err(CommandError::Query)?;
     if flags.json {
         println!("{}", serde_json::to_string_pretty(&answer).expect("answers serialise"));
     } else {
@@ -54,26 +57,19 @@
     Ok(if complete { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn body(flags: &QueryFlags) -> Result<Bytes> {
+fn request(flags: &QueryFlags) -> Result<QueryRequest> {
     let hint = "jasmineusher query --daemon 127.0.0.1:8100 --entry symptom-lookup";
     let Some(entry) = &flags.entry else { return Err(usage("No entry is named", hint)) };
     let params = flags.params.as_deref().unwrap_or("{}");
-    let params: serde_json::Value = serde_json::from_str(params)
+    let params = RawValue::from_string(params.to_owned())
         .map_err(|e| usage(format!("Parameters \"{params}\" are not JSON: {e}"), hint))?;
-    let mut body = json!({ "entry": entry, "params": params });
-    if let Some(hits) = flags.hits {
-        body["hits"] = hits.into();
-    }
-    if let Some(deadline_ms) = flags.deadline_ms {
-        body["deadline_ms"] = deadline_ms.into();
-    }
-    Ok(body.to_string().into())
-}
-
-async fn send(addr: std::net::SocketAddr, body: Bytes) -> Result<QueryAnswer> {
-    let call = HttpCall::post(addr, QUERY_PATH, body, QUERY_LIMIT);
-    let reply = HttpClient::default().call(call).await.map_err(CommandError::Daemon)?;
-    serde_json::from_slice(&reply.body).map_err(|source| CommandError::Answer { addr, source })
+    Ok(QueryRequest {
+        entry: entry.clone(),
+        params,
+        hits: flags.hits.unwrap_or(DEFAULT_HITS),
+        deadline: flags.deadline_ms.map(Duration::from_millis),
+        ticket: flags.ticket.clone(),
+    })
 }
 
 /// Prints an answer for people.
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -1,5 +1,6 @@
 //! One leaf call: waits for a slot, takes a connection, exchanges, and charges the effort.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU8;
@@ -16,11 +17,12 @@
 
 use crate::backend::BackendError;
 use crate::backend::LeafConnection;
+use crate::catalogue::Class;
 use crate::catalogue::Entry;
 use crate::events::Event;
 use crate::gate::Admission;
 use crate::gate::CallEnd;
-use crate::ids::Attempt;
+use crate::ids::IndexName;
 use crate::latency::LatencyTracker;
 use crate::leaf::Leaf;
 use crate::leaf_protocol::CANCEL_PATH;
@@ -31,9 +33,13 @@
 use crate::leaf_protocol::SEARCH_PATH;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
+use crate::peer_protocol::RelayEnd;
 use crate::pool::Acquired;
 use crate::query::Loss;
 use crate::query::SendCall;
+use crate::relay::RelayHost;
+use crate::relay::Route;
+use crate::relay_link::RelayOutcome;
 use crate::tier::CONNECT_LIMIT;
 use crate::tier::EntryState;
 use crate::tier::Tier;
@@ -102,19 +108,51 @@
 #[derive(Debug)]
 pub enum CallEvent {
     /// The leaf answered.
-    Answered(Attempt, LeafAnswer),
+    Answered(CallId, LeafAnswer),
     /// The call ended without a usable answer.
-    Lost(Attempt, Loss),
+    Lost(CallId, Loss),
+}
+
+/// What the leafs need to know of an entry.
+#[derive(Clone, Debug)]
+pub struct CallSpec {
+    /// The index.
+    pub index: IndexName,
+    /// The entry's kind of request.
+    pub kind: String,
+    /// The entry's class.
+    pub class: Class,
+    /// Whether running a call twice does no harm.
+    pub idempotent: bool,
+}
+
+impl From<&Entry> for CallSpec {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            index: entry.index.clone(),
+            kind: entry.kind.clone(),
+            class: entry.class,
+            idempotent: entry.idempotent,
+        }
+    }
+}
+
+/// Who is charged for a call.
+pub struct ChargeTo {
+    /// The entry.
+    pub entry: Arc<Entry>,
+    /// The entry's tables.
+    pub entry_state: Arc<EntryState>,
 }
 
 /// What the calls of one query have in common.
 pub struct CallContext {
     /// The shared tables.
     pub tier: Arc<Tier>,
-    /// The entry that is charged.
-    pub entry: Arc<Entry>,
-    /// The entry's tables.
-    pub entry_state: Arc<EntryState>,
+    /// What is called.
+    pub spec: CallSpec,
+    /// Who is charged; nobody for a call that another host made, which charges it itself.
+    pub charge: Option<ChargeTo>,
     /// The index's learned latency.
     pub latency: Arc<std::sync::Mutex<LatencyTracker>>,
     /// The caller's parameters.
@@ -156,17 +194,22 @@
     }
 
     fn tell(&self, ended: Ended) {
-        let attempt = self.send.call.attempt;
+        let call = self.send.call;
         let (effort, event) = match ended {
-            Ended::Withdrawn => return self.cx.tier.counters.withdrawn.increment(),
-            Ended::Lost(loss, effort) => (effort, CallEvent::Lost(attempt, loss)),
+            Ended::Withdrawn => {
+                self.cx.tier.counters.withdrawn.increment();
+                (Effort::None, CallEvent::Lost(call, Loss::NotSent))
+            }
+            Ended::Lost(loss, effort) => (effort, CallEvent::Lost(call, loss)),
             Ended::Answered(answer) => {
                 let effort = Effort::Reported(answer.effort_us);
-                (effort, CallEvent::Answered(attempt, answer))
+                (effort, CallEvent::Answered(call, answer))
             }
         };
-        let charge = Charge { purpose: self.send.purpose, effort };
-        self.cx.tier.charge(&self.cx.entry, &self.cx.entry_state, charge, Instant::now());
+        if let Some(ChargeTo { entry, entry_state }) = &self.cx.charge {
+            let charge = Charge { purpose: self.send.purpose, effort };
+            self.cx.tier.charge(entry, entry_state, charge, Instant::now());
+        }
         // The query may be over; its owner no longer listens then.
         let _ = self.cx.events.send(event);
     }
@@ -177,7 +220,7 @@
         let admission = {
             let mut state = self.leaf.state();
             let service = state.belief.service();
-            state.gate.enter(self.cx.entry.class, self.cx.deadline, service, now, token)
+            state.gate.enter(self.cx.spec.class, self.cx.deadline, service, now, token)
         };
         match admission {
             Admission::Admitted => return Ok(()),
@@ -199,9 +242,12 @@
     }
 
     async fn run_in_slot(&self) -> Ended {
-        let (ended, call_end) = match self.take_connection().await {
-            Ok(conn) => self.run_on(conn).await,
-            Err(ended) => (ended, CallEnd::Other),
+        let (ended, call_end) = match self.leaf.route() {
+            Route::Via(relays) => self.run_through(&relays).await,
+            Route::Direct(_) => match self.take_connection().await {
+                Ok(conn) => self.run_on(conn).await,
+                Err(ended) => (ended, CallEnd::Other),
+            },
         };
         leave(&self.leaf, call_end);
         ended
@@ -304,13 +350,67 @@
         answered.ok()
     }
 
+    /// Sends the call through a relay, which queues, checks the clock and cancels as this host would.
+    async fn run_through(&self, relays: &[RelayHost]) -> (Ended, CallEnd) {
+        let started = Instant::now();
+        if started >= self.cx.deadline {
+            return (Ended::Lost(Loss::NoSlot, Effort::None), CallEnd::Other);
+        }
+        if !self.control.begin_write(started) {
+            return (Ended::Withdrawn, CallEnd::Other);
+        }
+        let links = &self.cx.tier.relays;
+        let call = links.call(relays, &self.cx, self.send.call, &self.leaf.host.name);
+        let mut call = pin!(call);
+        let outcome = tokio::select! {
+            biased;
+            outcome = &mut call => Some(outcome),
+            () = self.control.cancelled.notified() => {
+                self.cx.tier.counters.cancels.increment();
+                self.note_unanswered(started.elapsed(), Instant::now());
+                links.cancel(relays, self.send.call).await;
+                tokio::time::timeout(CANCEL_GRACE, &mut call).await.ok()
+            }
+        };
+        self.take_relayed(outcome, started)
+    }
+
+    fn take_relayed(&self, outcome: Option<RelayOutcome>, started: Instant) -> (Ended, CallEnd) {
+        let now = Instant::now();
+        let elapsed = now.saturating_duration_since(started);
+        let unknown = Effort::Estimated(elapsed.as_micros() as u64);
+        let lost = |loss, effort| (Ended::Lost(loss, effort), CallEnd::Other);
+        match outcome {
+            Some(RelayOutcome::Told(RelayEnd::Answered { json })) => match LeafAnswer::parse(&json)
+            {
+                Ok(answer) if answer.call == self.send.call => {
+                    let call_end = self.note_answer(&answer, elapsed, now);
+                    (Ended::Answered(answer), call_end)
+                }
+                _ => lost(Loss::Garbled, unknown),
+            },
+            Some(RelayOutcome::NotSent | RelayOutcome::Told(RelayEnd::NotSent)) => {
+                lost(Loss::NotSent, Effort::None)
+            }
+            Some(RelayOutcome::Told(RelayEnd::NoSlot)) => lost(Loss::NoSlot, Effort::None),
+            Some(RelayOutcome::Told(RelayEnd::Broken)) => {
+                self.leaf.state().belief.lost(now);
+                lost(Loss::Broken, unknown)
+            }
+            // A lost relay says nothing about the leaf, and is no strike against the request.
+            Some(RelayOutcome::Told(RelayEnd::Garbled) | RelayOutcome::RelayLost) | None => {
+                lost(Loss::Garbled, unknown)
+            }
+        }
+    }
+
     fn body(&self, now: Instant) -> Bytes {
         let remaining = self.cx.deadline.saturating_duration_since(now);
         let request = LeafRequest {
             call: self.send.call,
-            index: &self.cx.entry.index,
-            kind: &self.cx.entry.kind,
-            idempotent: self.cx.entry.idempotent,
+            index: &self.cx.spec.index,
+            kind: &self.cx.spec.kind,
+            idempotent: self.cx.spec.idempotent,
             remaining_ms: remaining.as_millis() as u64,
             params: &self.cx.params,
         };
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -33,9 +33,12 @@
 use crate::publication::DocumentKind;
 use crate::publication::PublicationError;
 use crate::publication::View;
+use crate::relay_link::RelayLinks;
+use crate::relay_service::RelayedCalls;
 use crate::server;
 use crate::settings::Settings;
 use crate::shares::Seat;
+use crate::signature::KeyRing;
 use crate::state::StateDump;
 use crate::ticket::TicketTable;
 use crate::tier::Identity;
@@ -92,6 +95,8 @@
     pub platform: Box<dyn Platform>,
     /// What is known through peers.
     pub peers: Peers,
+    /// Leaf calls that this process runs for other hosts.
+    pub relayed: RelayedCalls,
     /// Tickets that this process issued.
     pub tickets: Mutex<TicketTable>,
     front: Front,
@@ -107,8 +112,10 @@
             incarnation: Tier::new_incarnation(),
         };
         let tickets = TicketTable::new(identity.host.clone(), identity.incarnation, now);
-        let tier =
-            Arc::new(Tier::new(identity, Box::new(HttpLeafBackend { local: settings.local_ip() })));
+        let backend = Box::new(HttpLeafBackend { local: settings.local_ip() });
+        let relay_client = HttpClient::from_local(settings.local_ip());
+        let relays = RelayLinks::new(relay_client, KeyRing::new(settings.peer_keys.clone()));
+        let tier = Arc::new(Tier::new(identity, backend, Arc::new(relays)));
         Arc::new_cyclic(|this| Self {
             front: Front::new(tier.clone())
                 .with_strike_teller(Arc::new(PeerStrikeTeller { daemon: this.clone() })),
@@ -117,6 +124,7 @@
                 HttpClient::from_local(settings.local_ip()),
             )),
             peers: Peers::new(&settings, now),
+            relayed: RelayedCalls::default(),
             tickets: Mutex::new(tickets),
             tier,
             lifecycle: Lifecycle::new(now),
@@ -324,7 +332,9 @@
         self.daemon.spread_leaving();
         Event::Leaving.info(&format!("host {}", self.daemon.settings.host));
         let give_up = Instant::now() + self.daemon.settings.shutdown;
-        wait_while(give_up, || self.daemon.lifecycle.in_progress() > 0);
+        wait_while(give_up, || {
+            self.daemon.lifecycle.in_progress() > 0 || !self.daemon.relayed.is_empty()
+        });
         std::thread::sleep(LINGER);
         wait_while(Instant::now() + CLOSE_LIMIT, || self.daemon.clients.open() > 0);
         self.end();
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -19,7 +19,9 @@
 use crate::call::CallContext;
 use crate::call::CallControl;
 use crate::call::CallEvent;
+use crate::call::CallSpec;
 use crate::call::Cancelled;
+use crate::call::ChargeTo;
 use crate::catalogue::Entry;
 use crate::events::Event;
 use crate::ids::Attempt;
@@ -306,8 +308,11 @@
         };
         let cx = Arc::new(CallContext {
             tier: front.tier.clone(),
-            entry: admitted.entry.clone(),
-            entry_state: admitted.place.state.clone(),
+            spec: CallSpec::from(&*admitted.entry),
+            charge: Some(ChargeTo {
+                entry: admitted.entry.clone(),
+                entry_state: admitted.place.state.clone(),
+            }),
             latency,
             params: admitted.req.params.clone(),
             deadline: admitted.deadline,
@@ -349,11 +354,11 @@
     fn take(&mut self, event: CallEvent, actions: &mut Actions) {
         let now = Instant::now();
         match event {
-            CallEvent::Answered(attempt, answer) => {
-                self.query.answered(attempt, answer, now, &mut self.policy, actions);
+            CallEvent::Answered(call, answer) => {
+                self.query.answered(call.attempt, answer, now, &mut self.policy, actions);
             }
-            CallEvent::Lost(attempt, loss) => {
-                self.query.lost(attempt, loss, now, &mut self.policy, actions);
+            CallEvent::Lost(call, loss) => {
+                self.query.lost(call.attempt, loss, now, &mut self.policy, actions);
             }
         }
     }
@@ -367,9 +372,9 @@
     }
 
     fn count_first_calls(&self, actions: &Actions) {
-        let entry = &self.cx.entry;
-        let mut extra_load = self.cx.entry_state.extra_load.lock().unwrap();
-        extra_load.earn(actions.sends.len(), entry.limits.extra_load);
+        let share = self.policy.entry.limits.extra_load;
+        let mut extra_load = self.policy.entry_state.extra_load.lock().unwrap();
+        extra_load.earn(actions.sends.len(), share);
     }
 
     fn carry_out(&mut self, actions: &mut Actions) {
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -10,6 +10,8 @@
 use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +20,8 @@
 
 /// The largest body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
+/// Idle connections kept to each host.
+const MAX_IDLE_PER_HOST: usize = 8;
 /// Header that carries a document's revision.
 pub const REVISION_HEADER: &str = "x-revision";
 /// Header that authenticates a peer message.
@@ -136,7 +140,7 @@
         connector.set_nodelay(true);
         connector.set_local_address(local);
         let mut builder = Client::builder(TokioExecutor::new());
-        builder.pool_max_idle_per_host(2);
+        builder.pool_max_idle_per_host(MAX_IDLE_PER_HOST);
         // A resend is the caller's decision.
         builder.retry_canceled_requests(false);
         Self { inner: builder.build(connector) }
@@ -151,20 +155,34 @@
         }
     }
 
-    async fn exchange(&self, call: HttpCall) -> Result<HttpReply> {
+    /// Makes a call and returns its answer as soon as its head has come.
+    pub async fn open(&self, call: HttpCall) -> Result<Response<Incoming>> {
+        let (peer, path, limit) = (call.peer, call.path.clone(), call.limit);
+        match tokio::time::timeout(limit, self.send(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpClientError::Timeout { peer, path, limit }),
+        }
+    }
+
+    async fn send(&self, call: HttpCall) -> Result<Response<Incoming>> {
         let HttpCall { peer, method, path, body, signature, .. } = call;
         let mut req = Request::builder().method(method).uri(format!("http://{peer}{path}"));
         if let Some(signature) = signature {
             req = req.header(SIGNATURE_HEADER, signature);
         }
         let req = req.body(Full::new(body)).expect("an address and a path make a valid URI");
-        let response = self.inner.request(req).await.map_err(|source| {
+        self.inner.request(req).await.map_err(|source| {
             if source.is_connect() {
                 HttpClientError::Connect { peer, source }
             } else {
-                HttpClientError::Exchange { peer, path: path.clone(), source }
+                HttpClientError::Exchange { peer, path, source }
             }
-        })?;
+        })
+    }
+
+    async fn exchange(&self, call: HttpCall) -> Result<HttpReply> {
+        let (peer, path) = (call.peer, call.path.clone());
+        let response = self.send(call).await?;
         let header = |name: &'static str| {
             let value = response.headers().get(HeaderName::from_static(name))?;
             value.to_str().ok().map(str::to_owned)
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -18,11 +18,14 @@
 use crate::hosts::HostList;
 use crate::hosts::HostState;
 use crate::hosts::LeafHost;
+use crate::ids::HostName;
 use crate::ids::LeafKey;
 use crate::ids::Zone;
 use crate::pool::Pool;
 use crate::query::Choice;
 use crate::query::Purpose;
+use crate::relay::Route;
+use crate::relay::Router;
 
 /// Retries that a leaf's failures may cause, as a share of the calls to it.
 const LEAF_RETRY_SHARE: f64 = 0.2;
@@ -41,6 +44,17 @@
     pub belief: Belief,
     /// Retries that this leaf's failures may cause.
     pub retries: ExtraLoadBudget,
+    /// How this host reaches the leaf.
+    pub route: Route,
+}
+
+/// Returns the most calls that this host may have in flight at a leaf. Through relays it is the
+/// leaf's slots; the relays queue for them.
+fn window(host: &LeafHost, route: &Route) -> u32 {
+    match route {
+        Route::Direct(connections) => host.slots.min(*connections),
+        Route::Via(_) => host.slots,
+    }
 }
 
 /// One leaf. Lock order: `state` before the pool's own lock; never two leafs' states at once.
@@ -56,14 +70,20 @@
 }
 
 impl Leaf {
-    /// Makes a leaf that was never called. `share` is this host's part of its connections.
-    pub fn new(key: LeafKey, host: LeafHost, share: u32) -> Self {
-        let state = LeafState {
-            gate: Gate::new(share.min(host.slots)),
-            belief: Belief::default(),
-            retries: ExtraLoadBudget::for_leaf(),
-        };
-        Self { key, pool: Pool::new(share), host, state: Mutex::new(state) }
+    /// Makes a leaf that was never called.
+    pub fn new(key: LeafKey, host: LeafHost, route: Route) -> Self {
+        let mut belief = Belief::default();
+        belief.listed(host.state == HostState::Leaving);
+        let pool = Pool::new(route.connections());
+        let gate = Gate::new(window(&host, &route));
+        let retries = ExtraLoadBudget::for_leaf();
+        let state = LeafState { gate, belief, retries, route };
+        Self { key, pool, host, state: Mutex::new(state) }
+    }
+
+    /// Returns how this host reaches the leaf.
+    pub fn route(&self) -> Route {
+        self.state().route.clone()
     }
 
     /// Locks the part that calls change.
@@ -71,10 +91,11 @@
         self.state.lock().unwrap()
     }
 
-    fn update(&self, host: &LeafHost, share: u32) {
-        self.pool.set_limit(share);
+    fn update(&self, host: &LeafHost, route: Route) {
+        self.pool.set_limit(route.connections());
         let mut state = self.state();
-        state.gate.set_max_window(share.min(host.slots));
+        state.gate.set_max_window(window(host, &route));
+        state.route = route;
         state.belief.listed(host.state == HostState::Leaving);
     }
 
@@ -91,19 +112,24 @@
 }
 
 impl LeafTable {
-    /// Makes the table for a host list, keeping the leafs whose address did not change.
-    pub fn next(&self, hosts: &HostList) -> Self {
+    /// Makes the table for a host list, keeping the leafs whose address did not change. Routes are
+    /// decided again only where the daemons or the leaf changed.
+    pub fn next(&self, before: &HostList, hosts: &HostList, own: &HostName) -> Self {
         let size = hosts.leafs().map(|(key, _)| key.0 as usize + 1).max().unwrap_or(0);
         let mut leafs = vec![None; size];
-        let daemons = hosts.daemons.len().max(1) as u32;
+        let router = Router::new(own, hosts);
+        let same_daemons = before.daemons == hosts.daemons;
         for (key, host) in hosts.leafs() {
-            let share = (host.connections / daemons).max(1);
             let known = self.get(key).filter(|leaf| leaf.host.addr == host.addr);
+            let unchanged = same_daemons && before.leaf(key) == Some(host);
             let leaf = match known {
-                Some(leaf) => leaf.clone(),
-                None => Arc::new(Leaf::new(key, host.clone(), share)),
+                Some(leaf) if unchanged => leaf.clone(),
+                Some(leaf) => {
+                    leaf.update(host, router.route(host));
+                    leaf.clone()
+                }
+                None => Arc::new(Leaf::new(key, host.clone(), router.route(host))),
             };
-            leaf.update(host, share);
             leafs[key.0 as usize] = Some(leaf);
         }
         Self { leafs }
--- a/lib/src/leaf_protocol.rs
+++ b/lib/src/leaf_protocol.rs
@@ -35,7 +35,6 @@
 #[derive(Debug, Serialize)]
 pub struct LeafRequest<'a> {
     /// The call's identity.
-    #[serde(flatten)]
     pub call: CallId,
     /// The index that is searched.
     pub index: &'a IndexName,
@@ -53,7 +52,6 @@
 #[derive(Debug, Deserialize)]
 pub struct OwnedLeafRequest {
     /// The call's identity.
-    #[serde(flatten)]
     pub call: CallId,
     /// The index that is searched.
     pub index: IndexName,
@@ -110,7 +108,6 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct LeafAnswer {
     /// The call that is answered.
-    #[serde(flatten)]
     pub call: CallId,
     /// What became of it.
     pub status: LeafStatus,
--- a/lib/src/peer_protocol.rs
+++ b/lib/src/peer_protocol.rs
@@ -8,17 +8,25 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::catalogue::Class;
+use crate::ids::Attempt;
 use crate::ids::EntryName;
 use crate::ids::HostName;
 use crate::ids::Incarnation;
+use crate::ids::IndexName;
+use crate::ids::IndexVersion;
 use crate::ids::LeafName;
+use crate::ids::QueryId;
 use crate::ids::Revision;
+use crate::ids::ShardNo;
 use crate::ids::Zone;
+use crate::leaf_protocol::CallId;
 use crate::lifecycle::Phase;
 use crate::patch::Patch;
 use crate::patch::serde_bytes_vec;
 use crate::publication::DocumentKind;
 use crate::quarantine::StrikeNews;
+use crate::signature::KeyRing;
 
 /// Version of the messages; others are refused.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -219,3 +227,122 @@
 pub fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T> {
     rmp_serde::from_slice(body).map_err(ProtocolError::Decode)
 }
+
+/// Path of a batch of leaf calls for a relay.
+pub const RELAY_PATH: &str = "/peer/relay";
+/// Path that cancels relayed calls.
+pub const RELAY_CANCEL_PATH: &str = "/peer/relay-cancel";
+/// Purpose of a relay frame's signature.
+const FRAME_PURPOSE: &str = "relay-frame";
+
+/// One leaf call of a relayed query.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayCall {
+    /// The call within the query.
+    pub attempt: Attempt,
+    /// The shard.
+    pub shard: ShardNo,
+    /// The leaf.
+    pub leaf: LeafName,
+}
+
+/// The calls of one query in a batch.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayQuery {
+    /// The query.
+    pub query: QueryId,
+    /// The pinned version.
+    pub index_version: IndexVersion,
+    /// The index.
+    pub index: IndexName,
+    /// The entry's kind of request.
+    pub kind: String,
+    /// The entry's class, by which the relay queues.
+    pub class: Class,
+    /// Whether running a call twice does no harm.
+    pub idempotent: bool,
+    /// Time left, in milliseconds.
+    pub remaining_ms: u64,
+    /// The caller's parameters, in JSON.
+    pub params: String,
+    /// The calls.
+    pub calls: Vec<RelayCall>,
+}
+
+impl RelayQuery {
+    /// Returns the identities of the calls.
+    pub fn call_ids(&self) -> impl Iterator<Item = CallId> + '_ {
+        let (query, version) = (self.query, self.index_version);
+        let id = move |c: &RelayCall| CallId { query, attempt: c.attempt, shard: c.shard, version };
+        self.calls.iter().map(id)
+    }
+}
+
+/// A batch of leaf calls. The answer is a stream of [`RelayFrame`]s, each after its length as four
+/// bytes, most significant first.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayRequest {
+    /// Version of the messages.
+    pub version: u32,
+    /// The relay.
+    pub to: HostName,
+    /// Random number that the frames' signatures cover.
+    pub nonce: u64,
+    /// The queries.
+    pub queries: Vec<RelayQuery>,
+}
+
+/// How a relayed call ended.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum RelayEnd {
+    /// The leaf answered.
+    Answered {
+        /// The leaf's answer, in JSON.
+        #[serde(with = "serde_bytes_vec")]
+        json: Vec<u8>,
+    },
+    /// No byte of the call was written to the leaf.
+    NotSent,
+    /// The call could not get a slot in time; no byte was written.
+    NoSlot,
+    /// The leaf's connection broke after a byte may have been written.
+    Broken,
+    /// The leaf's answer could not be used.
+    Garbled,
+}
+
+/// The end of one relayed call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayFrame {
+    /// The call.
+    pub call: CallId,
+    /// Its end.
+    pub end: RelayEnd,
+    /// Signature over the batch's nonce, the call and the end.
+    pub signature: String,
+}
+
+impl RelayFrame {
+    /// Makes a signed frame.
+    pub fn signed(keys: &KeyRing, nonce: u64, call: CallId, end: RelayEnd) -> Self {
+        let signature = keys.sign(FRAME_PURPOSE, &encode(&(nonce, &call, &end)));
+        Self { call, end, signature }
+    }
+
+    /// Whether the frame belongs to the batch and was signed by a known key.
+    pub fn is_signed(&self, keys: &KeyRing, nonce: u64) -> bool {
+        let message = encode(&(nonce, &self.call, &self.end));
+        keys.verify(FRAME_PURPOSE, &message, &self.signature)
+    }
+}
+
+/// Cancels relayed calls.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayCancel {
+    /// Version of the messages.
+    pub version: u32,
+    /// The relay.
+    pub to: HostName,
+    /// The calls.
+    pub calls: Vec<CallId>,
+}
--- a/lib/src/publication.rs
+++ b/lib/src/publication.rs
@@ -16,6 +16,7 @@
 use crate::hosts::HostListError;
 use crate::hosts::LeafRegistry;
 use crate::hosts::RawHostList;
+use crate::ids::HostName;
 use crate::ids::Revision;
 use crate::layout::Layout;
 use crate::layout::LayoutError;
@@ -120,8 +121,13 @@
         self.documents.iter().all(Option::is_some)
     }
 
-    /// Makes the view in which `document` is in force.
-    pub fn next(&self, document: Document, registry: &LeafRegistry) -> Result<Self> {
+    /// Makes the view in which `document` is in force, as the host `own` sees it.
+    pub fn next(
+        &self,
+        document: Document,
+        registry: &LeafRegistry,
+        own: &HostName,
+    ) -> Result<Self> {
         let Document { kind, revision: offered, .. } = document;
         let present = self.revision(kind);
         if offered <= present {
@@ -138,7 +144,7 @@
             DocumentKind::Hosts => {
                 let raw = RawHostList::parse(&document.body).map_err(PublicationError::Hosts)?;
                 let hosts = HostList::new(raw, registry).map_err(PublicationError::Hosts)?;
-                next.leafs = Arc::new(self.leafs.next(&hosts));
+                next.leafs = Arc::new(self.leafs.next(&self.hosts, &hosts, own));
                 next.hosts = Arc::new(hosts);
                 next.resolve_layout()?;
             }
--- /dev/null
+++ b/lib/src/relay_service.rs
@@ -0,0 +1,217 @@
+//! The serving side of relays: runs leaf calls for other hosts and tells each end as it comes.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use xitca_web::body::Body;
+use xitca_web::body::Frame;
+
+use crate::call::Call;
+use crate::call::CallContext;
+use crate::call::CallControl;
+use crate::call::CallEvent;
+use crate::call::CallSpec;
+use crate::daemon::Daemon;
+use crate::exchange::check_addressee;
+use crate::ids::LeafName;
+use crate::leaf::Leaf;
+use crate::leaf_protocol::CallId;
+use crate::lifecycle::Phase;
+use crate::peer_protocol::ProtocolError;
+use crate::peer_protocol::RelayCancel;
+use crate::peer_protocol::RelayEnd;
+use crate::peer_protocol::RelayFrame;
+use crate::peer_protocol::RelayQuery;
+use crate::peer_protocol::RelayRequest;
+use crate::peer_protocol::encode;
+use crate::query::Loss;
+use crate::query::Purpose;
+use crate::query::SendCall;
+use crate::relay::Route;
+use crate::relay_link::with_length;
+
+/// The calls that this host runs for others, by which they are cancelled.
+#[derive(Debug, Default)]
+pub struct RelayedCalls {
+    controls: Mutex<HashMap<CallId, Arc<CallControl>>>,
+}
+
+impl RelayedCalls {
+    /// Returns the number of calls in progress.
+    pub fn len(&self) -> usize {
+        self.controls.lock().unwrap().len()
+    }
+
+    /// Whether no call is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn cancel(&self, calls: &[CallId]) {
+        let controls = self.controls.lock().unwrap();
+        for call in calls {
+            controls.get(call).map(|control| control.cancel());
+        }
+    }
+}
+
+/// Cancels what is left of a batch when the asking host is gone.
+struct Batch {
+    daemon: Arc<Daemon>,
+    calls: Vec<CallId>,
+}
+
+impl Drop for Batch {
+    fn drop(&mut self) {
+        self.daemon.relayed.cancel(&self.calls);
+        let mut controls = self.daemon.relayed.controls.lock().unwrap();
+        for call in &self.calls {
+            controls.remove(call);
+        }
+    }
+}
+
+/// The ends of a batch as a body that grows while calls end.
+pub struct RelayBody {
+    frames: mpsc::UnboundedReceiver<Bytes>,
+    _batch: Batch,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.frames.poll_recv(cx).map(|frame| frame.map(|bytes| Ok(Frame::Data(bytes))))
+    }
+}
+
+impl Daemon {
+    /// Runs a batch of calls for another host.
+    pub fn serve_relay(
+        self: &Arc<Self>,
+        body: &[u8],
+        signature: &str,
+    ) -> Result<RelayBody, ProtocolError> {
+        let req: RelayRequest = self.open_message(body, signature)?;
+        check_addressee(req.version, Some(&req.to), &self.settings.host)?;
+        let now = Instant::now();
+        let (frames_tx, frames) = mpsc::unbounded_channel();
+        let mut batch = Batch { daemon: self.clone(), calls: Vec::new() };
+        for query in req.queries {
+            self.relay_query(query, req.nonce, &frames_tx, &mut batch, now);
+        }
+        Ok(RelayBody { frames, _batch: batch })
+    }
+
+    fn relay_query(
+        self: &Arc<Self>,
+        query: RelayQuery,
+        nonce: u64,
+        frames: &mpsc::UnboundedSender<Bytes>,
+        batch: &mut Batch,
+        now: Instant,
+    ) {
+        let (events_tx, events) = mpsc::unbounded_channel();
+        let ids: Vec<_> = query.call_ids().collect();
+        tokio::spawn(tell_ends(self.clone(), events, nonce, frames.clone()));
+        let Some(cx) = self.relay_context(&query, events_tx.clone(), now) else {
+            ids.iter().for_each(|&call| refuse(&events_tx, call));
+            return;
+        };
+        for (call, id) in query.calls.iter().zip(ids) {
+            let Some(leaf) = self.relayed_leaf(&call.leaf) else {
+                refuse(&events_tx, id);
+                continue;
+            };
+            let control = Arc::new(CallControl::default());
+            self.relayed.controls.lock().unwrap().insert(id, control.clone());
+            batch.calls.push(id);
+            let send = SendCall { call: id, leaf: leaf.key, purpose: Purpose::First };
+            tokio::spawn(Call { cx: cx.clone(), leaf, send, control }.run());
+        }
+    }
+
+    fn relay_context(
+        &self,
+        query: &RelayQuery,
+        events: mpsc::UnboundedSender<CallEvent>,
+        now: Instant,
+    ) -> Option<Arc<CallContext>> {
+        if self.lifecycle.phase() == Phase::Starting {
+            return None;
+        }
+        Some(Arc::new(CallContext {
+            tier: self.tier.clone(),
+            spec: CallSpec {
+                index: query.index.clone(),
+                kind: query.kind.clone(),
+                class: query.class,
+                idempotent: query.idempotent,
+            },
+            charge: None,
+            latency: self.tier.latency(&query.index, now),
+            params: RawValue::from_string(query.params.clone()).ok()?,
+            deadline: now + Duration::from_millis(query.remaining_ms),
+            events,
+        }))
+    }
+
+    /// Finds a leaf that this host may call itself. A host with another view is refused.
+    fn relayed_leaf(&self, name: &LeafName) -> Option<Arc<Leaf>> {
+        let view = self.tier.view();
+        let leaf = view.leafs.get(view.hosts.leaf_key(name)?)?;
+        matches!(leaf.route(), Route::Direct(_)).then(|| leaf.clone())
+    }
+
+    /// Cancels calls that this host runs for another one.
+    pub fn cancel_relayed(&self, body: &[u8], signature: &str) -> Result<Vec<u8>, ProtocolError> {
+        let req: RelayCancel = self.open_message(body, signature)?;
+        check_addressee(req.version, Some(&req.to), &self.settings.host)?;
+        self.relayed.cancel(&req.calls);
+        Ok(Vec::new())
+    }
+}
+
+fn refuse(events: &mpsc::UnboundedSender<CallEvent>, call: CallId) {
+    // The batch ends when nobody listens any more.
+    let _ = events.send(CallEvent::Lost(call, Loss::NotSent));
+}
+
+async fn tell_ends(
+    daemon: Arc<Daemon>,
+    mut events: mpsc::UnboundedReceiver<CallEvent>,
+    nonce: u64,
+    frames: mpsc::UnboundedSender<Bytes>,
+) {
+    while let Some(event) = events.recv().await {
+        let (call, end) = match event {
+            CallEvent::Answered(call, answer) => {
+                let json = serde_json::to_vec(&answer).expect("message types serialise");
+                (call, RelayEnd::Answered { json })
+            }
+            CallEvent::Lost(call, Loss::NotSent) => (call, RelayEnd::NotSent),
+            CallEvent::Lost(call, Loss::NoSlot) => (call, RelayEnd::NoSlot),
+            CallEvent::Lost(call, Loss::Broken) => (call, RelayEnd::Broken),
+            CallEvent::Lost(call, Loss::Garbled) => (call, RelayEnd::Garbled),
+        };
+        daemon.relayed.controls.lock().unwrap().remove(&call);
+        let frame = RelayFrame::signed(&daemon.peers.keys, nonce, call, end);
+        if frames.send(with_length(&encode(&frame)).into()).is_err() {
+            return;
+        }
+    }
+}
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -35,6 +35,9 @@
 use crate::peer_protocol::EXCHANGE_PATH;
 use crate::peer_protocol::FORWARD_PATH;
 use crate::peer_protocol::ProtocolError;
+use crate::peer_protocol::RELAY_CANCEL_PATH;
+use crate::peer_protocol::RELAY_PATH;
+use crate::relay_service::RelayBody;
 use crate::ticket::TICKET_LIFE;
 
 /// The largest body of a request, in bytes.
@@ -81,7 +84,7 @@
 pub struct Reply {
     status: u16,
     content_type: &'static str,
-    body: Vec<u8>,
+    body: ResponseBody,
     retry_after: Option<Duration>,
     signature: Option<String>,
 }
@@ -89,7 +92,7 @@
 impl Reply {
     /// Makes an answer in JSON.
     pub fn json<T: Serialize>(status: u16, value: &T) -> Self {
-        let body = serde_json::to_vec(value).expect("message types serialise");
+        let body = serde_json::to_vec(value).expect("message types serialise").into();
         let content_type = "application/json";
         Self { status, content_type, body, retry_after: None, signature: None }
     }
@@ -97,13 +100,22 @@
     /// Makes an answer of encoded bytes with a signature.
     pub fn signed(body: Vec<u8>, signature: String) -> Self {
         let content_type = "application/msgpack";
-        Self { status: 200, content_type, body, retry_after: None, signature: Some(signature) }
+        let (body, signature) = (body.into(), Some(signature));
+        Self { status: 200, content_type, body, retry_after: None, signature }
+    }
+
+    /// Makes an answer whose body grows while leaf calls end.
+    pub fn stream(frames: RelayBody) -> Self {
+        let content_type = "application/octet-stream";
+        let body = ResponseBody::boxed(frames);
+        Self { status: 200, content_type, body, retry_after: None, signature: None }
     }
 
     /// Makes an answer without a body.
     pub fn empty(status: u16) -> Self {
         let content_type = "text/plain";
-        Self { status, content_type, body: Vec::new(), retry_after: None, signature: None }
+        let body = ResponseBody::from(Vec::new());
+        Self { status, content_type, body, retry_after: None, signature: None }
     }
 
     fn query(answer: &QueryAnswer) -> Self {
@@ -117,7 +129,7 @@
     }
 
     fn into_response(self, closing: bool) -> WebResponse {
-        let mut response = WebResponse::new(ResponseBody::from(self.body));
+        let mut response = WebResponse::new(self.body);
         *response.status_mut() =
             StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = response.headers_mut();
@@ -145,7 +157,8 @@
 async fn route(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
     let path = cx.req().uri().path();
     let allowed = match path {
-        QUERY_PATH | TICKET_PATH | EXCHANGE_PATH | FORWARD_PATH => Method::POST,
+        QUERY_PATH | TICKET_PATH | EXCHANGE_PATH | FORWARD_PATH | RELAY_PATH
+        | RELAY_CANCEL_PATH => Method::POST,
         STATE_PATH | CHARGES_PATH | LIVE_PATH | READY_PATH => Method::GET,
         _ => return Reply::refusal(404, format!("Path \"{path}\" does not exist")),
     };
@@ -156,7 +169,7 @@
     match path {
         QUERY_PATH => query(cx, daemon).await,
         TICKET_PATH => ticket(daemon),
-        EXCHANGE_PATH | FORWARD_PATH => peer(cx, daemon).await,
+        EXCHANGE_PATH | FORWARD_PATH | RELAY_PATH | RELAY_CANCEL_PATH => peer(cx, daemon).await,
         STATE_PATH => Reply::json(200, &daemon.dump(Instant::now())),
         CHARGES_PATH => Reply::json(200, &daemon.tier.ledger.lock().unwrap().lines()),
         READY_PATH if daemon.lifecycle.phase() != Phase::Ready => Reply::empty(503),
@@ -205,15 +218,19 @@
 async fn peer(cx: &Context<'_>, daemon: &Arc<Daemon>) -> Reply {
     let header = cx.req().headers().get(SIGNATURE_HEADER);
     let signature = header.and_then(|h| h.to_str().ok()).unwrap_or_default().to_owned();
-    let is_exchange = cx.req().uri().path() == EXCHANGE_PATH;
+    let path = cx.req().uri().path();
     let body = match read_body(cx).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
-    let answered = if is_exchange {
-        daemon.answer_exchange(&body, &signature)
-    } else {
-        daemon.answer_forward(&body, &signature).await
+    let answered = match path {
+        RELAY_PATH => match daemon.serve_relay(&body, &signature) {
+            Ok(frames) => return Reply::stream(frames),
+            Err(e) => Err(e),
+        },
+        RELAY_CANCEL_PATH => daemon.cancel_relayed(&body, &signature),
+        FORWARD_PATH => daemon.answer_forward(&body, &signature).await,
+        _ => daemon.answer_exchange(&body, &signature),
     };
     match answered {
         Ok(body) => {
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -19,6 +19,7 @@
 use crate::publication::DocumentKind;
 use crate::publication::View;
 use crate::quarantine::StrikeNews;
+use crate::relay::Route;
 use crate::tier::EntryState;
 use crate::tier::Identity;
 use crate::tier::Tier;
@@ -41,6 +42,8 @@
     pub usability: Usability,
     /// Expected time per call, in microseconds.
     pub service_us: u64,
+    /// How this host reaches it.
+    pub route: Route,
     /// Calls in flight from this host.
     pub in_flight: u32,
     /// Calls that wait on this host.
@@ -126,6 +129,7 @@
         Self {
             usability: state.belief.usability(now),
             service_us: state.belief.service().as_micros() as u64,
+            route: state.route.clone(),
             in_flight: state.gate.in_flight(),
             queued: state.gate.queued(),
             window: state.gate.allowed(),
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -35,6 +35,7 @@
 use crate::publication::Result;
 use crate::publication::View;
 use crate::quarantine::Quarantine;
+use crate::relay_link::RelayLinks;
 
 /// Who this process is.
 #[derive(Clone, Debug, Serialize)]
@@ -68,6 +69,8 @@
     pub ledger: Mutex<Ledger>,
     /// Opens connections to leafs.
     pub backend: Box<dyn LeafBackend>,
+    /// Calls leafs through other hosts.
+    pub relays: Arc<RelayLinks>,
     view: RwLock<Arc<View>>,
     registry: LeafRegistry,
     entries: Mutex<HashMap<EntryName, Arc<EntryState>>>,
@@ -77,13 +80,14 @@
 
 impl Tier {
     /// Makes tables with nothing published yet.
-    pub fn new(identity: Identity, backend: Box<dyn LeafBackend>) -> Self {
+    pub fn new(identity: Identity, backend: Box<dyn LeafBackend>, relays: Arc<RelayLinks>) -> Self {
         Self {
             identity,
             counters: Counters::default(),
             quarantine: Mutex::default(),
             ledger: Mutex::default(),
             backend,
+            relays,
             view: RwLock::default(),
             registry: LeafRegistry::default(),
             entries: Mutex::default(),
@@ -100,7 +104,7 @@
     /// Puts a document in force, or says why not.
     pub fn publish(&self, document: Document) -> Result<Arc<View>> {
         let mut view = self.view.write().unwrap();
-        let next = Arc::new(view.next(document, &self.registry)?);
+        let next = Arc::new(view.next(document, &self.registry, &self.identity.host)?);
         *view = next.clone();
         Ok(next)
     }
--- a/lib/tests/test_documents.rs
+++ b/lib/tests/test_documents.rs
@@ -31,10 +31,12 @@
 #[test]
 fn document_in_force_is_never_replaced_by_a_lower_revision_or_an_invalid_one() {
     let registry = LeafRegistry::default();
-    let view = View::default().next(catalogue(5, testutils::CATALOGUE), &registry).expect("sound");
-    assert!(view.next(catalogue(4, testutils::CATALOGUE), &registry).is_err());
-    assert!(view.next(catalogue(5, testutils::CATALOGUE), &registry).is_err());
-    assert!(view.next(catalogue(6, "entry = 1"), &registry).is_err());
+    let view = View::default()
+        .next(catalogue(5, testutils::CATALOGUE), &registry, &host("host-0"))
+        .expect("sound");
+    assert!(view.next(catalogue(4, testutils::CATALOGUE), &registry, &host("host-0")).is_err());
+    assert!(view.next(catalogue(5, testutils::CATALOGUE), &registry, &host("host-0")).is_err());
+    assert!(view.next(catalogue(6, "entry = 1"), &registry, &host("host-0")).is_err());
     assert_eq!(view.revision(DocumentKind::Catalogue), Revision(5));
 }
 
@@ -47,7 +49,7 @@
     for n in 1..=30 {
         let document = catalogue(n, &edited(n));
         let old = view.document(DocumentKind::Catalogue).cloned();
-        view = view.next(document.clone(), &registry).expect("sound");
+        view = view.next(document.clone(), &registry, &host("host-0")).expect("sound");
         archive.replaced(old.as_ref(), &document);
         views.push(view.clone());
     }
