control: tables only for used entries, wants once a round, fewer copies

Each round of borrowing sorted and locked all 3,000 entries for each of 8 peers; each exchange locked all 24,000 leafs to look for draining ones; the host list was kept twice and the layout's names as text. Now entries are kept in order, only used ones are visited, draining leafs are remembered, and layouts keep keys. News goes to 5 peers instead of 3.

--- a/bench/src/exp_control.rs
+++ b/bench/src/exp_control.rs
@@ -18,6 +18,7 @@
 use jasmineusher_lib::layout::RawVersion;
 use jasmineusher_lib::publication::Document;
 use jasmineusher_lib::publication::DocumentKind;
+use jasmineusher_lib::server::QUERY_PATH;
 use jasmineusher_lib::server::READY_PATH;
 use jasmineusher_lib::server::STATE_PATH;
 use serde_json::Value;
@@ -89,7 +90,9 @@
         let entry = |n: u32| {
             let rate = if n == 0 { 100 + change } else { 100 };
             let text = EntryText::free("entry").text();
+            // No query is meant to reach a leaf: the index does not exist.
             text.replace("\"entry\"", &format!("\"entry-{n}\""))
+                .replace("careline", "nowhere")
                 .replace("100000.000", &format!("{rate}.0"))
         };
         (0..self.entries).map(entry).collect()
@@ -122,7 +125,7 @@
         let leafs = (0..self.leafs).map(|n| LeafHost {
             name: name(&format!("leaf-{n}")),
             // One leaf moves with each change.
-            addr: ([10, 0, 0, 1], if n == 1 { 10_000 + change as u16 } else { 9_000 }).into(),
+            addr: ([127, 0, 0, 1], if n == 1 { 10_000 + change as u16 } else { 9_000 }).into(),
             zone: zone(n),
             slots: 2,
             connections: 25,
@@ -164,9 +167,21 @@
         bed.publish(DocumentKind::Layout, layout);
         bed.publish_catalogue(0);
         bed.wait_ready().await;
+        bed.use_entries().await;
         bed
     }
 
+    /// Asks for each entry once, so that the daemon keeps tables for all of them.
+    async fn use_entries(&self) {
+        for n in 0..self.size.entries {
+            let body = format!(r#"{{"entry":"entry-{n}","params":{{}}}}"#);
+            let limit = Duration::from_secs(5);
+            let call = HttpCall::post(self.own.addr, QUERY_PATH, body.into(), limit);
+            let reply = self.client.call(call).await;
+            assert!(reply.is_ok_and(|reply| reply.status == 503), "the index does not exist");
+        }
+    }
+
     fn publish(&self, kind: DocumentKind, body: Vec<u8>) {
         let body = bytes::Bytes::from(body);
         let revision = Revision(self.platform.publish(kind, body.clone()));
--- a/bench/src/exp_fleet.rs
+++ b/bench/src/exp_fleet.rs
@@ -7,6 +7,7 @@
 use jasmineusher_lib::answer::OutcomeKind;
 
 use crate::bed::Bed;
+use crate::exp_latency::CallCounts;
 use crate::exp_latency::record;
 use crate::exp_latency::stream;
 use crate::exp_latency::verdict;
@@ -14,9 +15,11 @@
 use crate::experiment::Experiment;
 use crate::experiment::Workshop;
 use crate::load::Stream;
+use crate::load::StreamResult;
 use crate::load::milliseconds;
 use crate::load::new_histogram;
 use crate::load::run;
+use crate::measure::processor_time;
 use crate::report::Record;
 use crate::report::Row;
 
@@ -85,6 +88,66 @@
     latency.saturating_record(began.elapsed().as_micros() as u64);
 }
 
+/// Measures queries through relays beside direct ones, and connections that leafs refuse after a host
+/// is lost and unlisted.
+pub async fn relays(experiment: &Experiment, workshop: &Workshop) -> Record {
+    let catalogue = EntryText::free("lookup").text();
+    let mut rows = Vec::new();
+    for connections in [experiment.daemons as u32 * 2, experiment.connections] {
+        let shape = crate::fleet::FleetShape { connections, ..experiment.shape(30) };
+        let mut bed = workshop.bed(shape, &catalogue, experiment.daemons).await;
+        run(&[stream(&bed, "lookup", experiment.rate)], Duration::from_secs(2)).await;
+        let cpu_before = total_processor(&bed);
+        let counts = CallCounts::read(&bed).await;
+        let steady =
+            run(&[stream(&bed, "lookup", experiment.rate)], experiment.time()).await.remove(0);
+        let calls = CallCounts::read(&bed).await.since(counts);
+        let cpu = total_processor(&bed) - cpu_before;
+        let refused_before = bed.fleet.record.sums().refused_connections;
+        let last = bed.daemons.len() - 1;
+        bed.daemons[last].kill();
+        bed.fleet.unlist_daemon(&format!("host-{last}"));
+        bed.fleet.publish_hosts();
+        bed.daemons.pop();
+        run(&[stream(&bed, "lookup", experiment.rate)], Duration::from_secs(5)).await;
+        let refused_early = bed.fleet.record.sums().refused_connections;
+        let after =
+            run(&[stream(&bed, "lookup", experiment.rate)], experiment.time()).await.remove(0);
+        let refused_late = bed.fleet.record.sums().refused_connections;
+        let complete = |result: &StreamResult| {
+            result.outcome(OutcomeKind::Complete) as f64 / result.sent as f64 * 100.0
+        };
+        rows.push(
+            Row::new(format!("leafs accept {connections} connections"))
+                .with("p50 ms", milliseconds(&steady.latency, 0.5))
+                .with("p99 ms", milliseconds(&steady.latency, 0.99))
+                .with("complete %", complete(&steady))
+                .with("us of processor per leaf call, all daemons", {
+                    cpu.as_secs_f64() * 1e6 / (calls.first + calls.extra).max(1.0)
+                })
+                .with("connections refused in 5 s after a host is lost", {
+                    (refused_early - refused_before) as f64
+                })
+                .with("refused later", (refused_late - refused_early) as f64)
+                .with("complete % after", complete(&after))
+                .with("untruthful answers", (steady.untruthful + after.untruthful) as f64),
+        );
+    }
+    let late: f64 = rows.iter().filter_map(|row| row.get("refused later")).sum();
+    let verdicts = vec![verdict(
+        "No leaf refuses a connection for more than 5 s after a change of hosts",
+        late == 0.0,
+        format!("{late} refused later"),
+    )];
+    record(experiment, rows, verdicts)
+}
+
+fn total_processor(bed: &Bed) -> Duration {
+    let time =
+        |daemon: &crate::bed::DaemonProcess| processor_time(daemon.pid()).unwrap_or_default();
+    bed.daemons.iter().map(time).sum()
+}
+
 /// Measures the use of an entry's limit when one host gets ten times the others' queries, and
 /// admissions over the limit when the network is cut.
 pub async fn limits(experiment: &Experiment, workshop: &Workshop) -> Record {
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -63,6 +63,8 @@
     Control,
     /// A request that crashes leafs.
     Crash,
+    /// More daemons than a leaf accepts connections.
+    Relays,
 }
 
 /// One experiment, as its file describes it.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -93,6 +93,7 @@
         Kind::Tickets => exp_faults::tickets(experiment, workshop).await,
         Kind::Change => exp_fleet::change(experiment, workshop).await,
         Kind::Limits => exp_fleet::limits(experiment, workshop).await,
+        Kind::Relays => exp_fleet::relays(experiment, workshop).await,
         Kind::Control => exp_control::control(experiment, workshop).await,
     }
 }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -442,6 +442,8 @@
             }
             LeafStatus::Draining => {
                 state.belief.said_draining(now);
+                drop(state);
+                self.cx.tier.note_draining(self.leaf.key);
                 return CallEnd::Other;
             }
             LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -132,23 +132,23 @@
 }
 
 /// An accepted catalogue. Immutable; a later document makes a new one.
+///
+/// Invariant: entries are ordered by name, and no name stands twice.
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
-    entries: HashMap<EntryName, Arc<Entry>>,
+    entries: Vec<Arc<Entry>>,
 }
 
 impl Catalogue {
     /// Finds an entry by its name.
     pub fn entry(&self, name: &str) -> Option<&Arc<Entry>> {
-        let name = EntryName::try_from(name).ok()?;
-        self.entries.get(&name)
+        let place = self.entries.binary_search_by(|entry| entry.name.as_str().cmp(name));
+        place.ok().map(|place| &self.entries[place])
     }
 
     /// Returns all entries ordered by name.
-    pub fn entries(&self) -> Vec<&Arc<Entry>> {
-        let mut entries: Vec<_> = self.entries.values().collect();
-        entries.sort_by(|a, b| a.name.cmp(&b.name));
-        entries
+    pub fn entries(&self) -> &[Arc<Entry>] {
+        &self.entries
     }
 }
 
@@ -213,6 +213,8 @@
             entries.insert(entry.name.clone(), Arc::new(entry));
         }
         if checker.faults.is_empty() {
+            let mut entries: Vec<_> = entries.into_values().collect();
+            entries.sort_by(|a: &Arc<Entry>, b| a.name.cmp(&b.name));
             Ok(Self { entries })
         } else {
             Err(CatalogueError::Faults(checker.faults))
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -150,7 +150,7 @@
             Event::Paused.warn(&format!("for {} ms", gap.as_millis()));
             daemon.peers.forget_heard();
         }
-        daemon.measure_demand(now.saturating_duration_since(measured_at), now);
+        daemon.measure_demand(now.saturating_duration_since(measured_at));
         measured_at = now;
         daemon.apply_shares(now);
         tokio::time::sleep(BEAT).await;
@@ -185,7 +185,11 @@
             peers = peers.choose_multiple(&mut rng, BORROW_FROM).cloned().collect();
         }
         for peer in peers {
-            let wants = daemon.wants_of(&peer.0, Instant::now());
+            let deficits = daemon.deficits();
+            if deficits.is_empty() {
+                break;
+            }
+            let wants = daemon.wants_of(&peer.0, &deficits, Instant::now());
             if !wants.is_empty() {
                 // A giver that cannot be heard lends nothing.
                 let _ = daemon.exchange(&peer.into(), wants, false).await;
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::answer::QueryRequest;
 use crate::answer::Reason;
 use crate::answer::Refusal;
+use crate::catalogue::Entry;
 use crate::client_watch::ClientWatch;
 use crate::control;
 use crate::events::Event;
@@ -27,6 +28,7 @@
 use crate::http_leaf::HttpLeafBackend;
 use crate::lifecycle::Lifecycle;
 use crate::lifecycle::Phase;
+use crate::limits::HostShare;
 use crate::platform::HttpPlatform;
 use crate::platform::Platform;
 use crate::publication::Document;
@@ -42,6 +44,7 @@
 use crate::state::StateDump;
 use crate::ticket::TicketTable;
 use crate::tier::Identity;
+use crate::tier::ShareSource;
 use crate::tier::Tier;
 
 /// Time after the last request during which a leaving daemon still answers refusals, so that the
@@ -216,28 +219,37 @@
         }
     }
 
-    /// Measures the demand for each entry since the last call.
-    pub fn measure_demand(&self, passed: Duration, now: Instant) {
-        for entry in self.tier.view().catalogue.entries() {
-            let state = self.tier.entry_state(entry, now);
-            state.limits.lock().unwrap().measure(&entry.limits, passed);
+    /// Measures the demand for each used entry since the last call.
+    pub fn measure_demand(&self, passed: Duration) {
+        let view = self.tier.view();
+        for (name, state) in self.tier.entry_states() {
+            if let Some(entry) = view.catalogue.entry(name.as_str()) {
+                state.limits.lock().unwrap().measure(&entry.limits, passed);
+            }
         }
     }
 
-    /// Gives each entry this host's present share of its limits.
+    /// Gives each used entry this host's present share of its limits.
     pub fn apply_shares(&self, now: Instant) {
         let view = self.tier.view();
-        let zone_hosts = view.hosts.zone_daemons(&self.settings.zone).count();
-        let fenced = self.peers.is_fenced(zone_hosts, now);
+        let fenced = self.is_fenced(&view, now);
         let mut shares = self.peers.shares.lock().unwrap();
         shares.tick(!fenced, now);
-        for entry in view.catalogue.entries() {
-            let share = shares.share(&entry.name, &entry.limits, fenced, now);
-            let state = self.tier.entry_state(entry, now);
-            state.limits.lock().unwrap().set_share(share, now);
+        for (name, state) in self.tier.entry_states() {
+            let Some(entry) = view.catalogue.entry(name.as_str()) else { continue };
+            let share = shares.share(&name, &entry.limits, fenced, now);
+            let mut limits = state.limits.lock().unwrap();
+            limits.set_share(share, now);
+            limits.set_borrowing(shares.is_borrowing(&name));
         }
     }
 
+    /// Whether this host has lost both the platform and most of its zone.
+    pub fn is_fenced(&self, view: &View, now: Instant) -> bool {
+        let zone_hosts = view.hosts.zone_daemons(&self.settings.zone).count();
+        self.peers.is_fenced(zone_hosts, now)
+    }
+
     /// Dumps the state.
     pub fn dump(&self, now: Instant) -> StateDump {
         let last_refusal = self.last_refusal.lock().unwrap().clone();
@@ -258,6 +270,17 @@
     }
 }
 
+/// Decides shares for entries on their first use.
+struct DaemonShares(Weak<Daemon>);
+
+impl ShareSource for DaemonShares {
+    fn share(&self, entry: &Entry, now: Instant) -> HostShare {
+        let Some(daemon) = self.0.upgrade() else { return HostShare::of(&entry.limits, 0.0) };
+        let fenced = daemon.is_fenced(&daemon.tier.view(), now);
+        daemon.peers.shares.lock().unwrap().share(&entry.name, &entry.limits, fenced, now)
+    }
+}
+
 /// Finds this host's place in a host list; nothing when it is not listed.
 fn seat_of(settings: &Settings, view: &View) -> Option<Seat> {
     let zones = view.hosts.zones();
@@ -320,6 +343,8 @@
         let server = std::thread::spawn(move || server.wait());
         Event::Listening.info(&format!("host {} on {addr}", daemon.settings.host));
         // Nobody else sets these.
+        let shares = DaemonShares(Arc::downgrade(&daemon));
+        let _ = daemon.tier.share_source.set(Box::new(shares));
         let _ = daemon.peers.own_addr.set(daemon.settings.advertise.unwrap_or(addr));
         let _ = daemon.peers.runtime.set(control.handle().clone());
         control::start(&daemon, control.handle());
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -22,6 +22,7 @@
 use crate::http_client::HttpCall;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpClientError;
+use crate::ids::EntryName;
 use crate::ids::HostName;
 use crate::ids::Revision;
 use crate::membership::Hearing;
@@ -58,7 +59,7 @@
 /// Peers that are told of a suspected request at once.
 const STRIKE_FAN_OUT: usize = 32;
 /// Peers that are told of a new document at once.
-const NEWS_FAN_OUT: usize = 3;
+const NEWS_FAN_OUT: usize = 5;
 /// Bytes of HTTP around one message, for the count of control traffic.
 const HTTP_OVERHEAD_BYTES: u64 = 300;
 
@@ -223,12 +224,12 @@
     }
 
     fn drain_news(&self, now: Instant) -> Vec<DrainNews> {
-        let view = self.tier.view();
-        let news = view.leafs.iter().filter_map(|leaf| {
-            let age = leaf.state().belief.draining_age(now)?;
-            Some(DrainNews { leaf: leaf.host.name.clone(), age_ms: age.as_millis() as u64 })
+        let draining = self.tier.draining(now).into_iter().take(MAX_DRAINS);
+        let news = draining.map(|drain| DrainNews {
+            leaf: drain.leaf.host.name.clone(),
+            age_ms: drain.age.as_millis() as u64,
         });
-        news.take(MAX_DRAINS).collect()
+        news.collect()
     }
 
     fn hear_common(&self, heard: Heard<'_>, now: Instant) {
@@ -255,6 +256,7 @@
             if let Some(leaf) = key.and_then(|key| view.leafs.get(key)) {
                 let age = Duration::from_millis(drain.age_ms);
                 leaf.state().belief.heard_draining(age, now);
+                self.tier.note_draining(leaf.key);
             }
         }
     }
@@ -421,12 +423,12 @@
             return Vec::new();
         }
         let view = self.tier.view();
-        let fenced =
-            self.peers.is_fenced(view.hosts.zone_daemons(&self.settings.zone).count(), now);
+        let fenced = self.is_fenced(&view, now);
         let mut loans = Vec::new();
         for want in req.wants.iter().take(MAX_WANTS) {
             let Some(entry) = view.catalogue.entry(want.entry.as_str()) else { continue };
-            let used = self.tier.entry_state(entry, now).limits.lock().unwrap().demand().used;
+            let state = self.tier.known_entry_state(&entry.name);
+            let used = state.map_or(0.0, |state| state.limits.lock().unwrap().demand().used);
             let asked = Asked {
                 entry: &entry.name,
                 borrower: &req.from.host,
@@ -441,24 +443,31 @@
         loans
     }
 
-    /// Returns what this host would like to borrow from `giver`.
-    pub fn wants_of(&self, giver: &HostName, now: Instant) -> Vec<Want> {
+    /// Returns the entries whose demand exceeds this host's share, or that it has loans for.
+    pub fn deficits(&self) -> Vec<Deficit> {
         let view = self.tier.view();
-        let mut wants = Vec::new();
-        for entry in view.catalogue.entries() {
-            let state = self.tier.entry_state(entry, now);
+        let mut deficits = Vec::new();
+        for (name, state) in self.tier.entry_states() {
+            let Some(entry) = view.catalogue.entry(name.as_str()) else { continue };
             let limits = state.limits.lock().unwrap();
             let share = limits.share().queries_per_second / entry.limits.queries_per_second;
-            let deficit = limits.demand().asked * WANT_HEADROOM - share;
-            drop(limits);
-            let held = self.peers.shares.lock().unwrap().borrowed_from(&entry.name, giver, now);
-            let fraction = held + deficit;
-            if fraction > SMALLEST_WANT {
-                wants.push(Want { entry: entry.name.clone(), fraction });
+            let fraction = limits.demand().asked * WANT_HEADROOM - share;
+            if fraction > 0.0 || limits.demand().asked > SMALLEST_WANT && limits.is_borrowing() {
+                deficits.push(Deficit { entry: name, fraction });
             }
         }
-        wants.truncate(MAX_WANTS);
-        wants
+        deficits
+    }
+
+    /// Returns what to ask of `giver`: what is missing, and what it lends already.
+    pub fn wants_of(&self, giver: &HostName, deficits: &[Deficit], now: Instant) -> Vec<Want> {
+        let shares = self.peers.shares.lock().unwrap();
+        let want = |deficit: &Deficit| {
+            let held = shares.borrowed_from(&deficit.entry, giver, now);
+            let fraction = held + deficit.fraction;
+            (fraction > SMALLEST_WANT).then(|| Want { entry: deficit.entry.clone(), fraction })
+        };
+        deficits.iter().filter_map(want).take(MAX_WANTS).collect()
     }
 
     /// Exchanges with a peer in the background.
@@ -494,6 +503,16 @@
 /// Smallest fraction of an entry's limits that is asked for.
 const SMALLEST_WANT: f64 = 0.0005;
 
+/// What an entry's demand lacks on this host, as a fraction of its limits; below 0 where loans exceed
+/// the demand.
+#[derive(Clone, Debug)]
+pub struct Deficit {
+    /// The entry.
+    pub entry: EntryName,
+    /// The fraction that is missing.
+    pub fraction: f64,
+}
+
 /// What both kinds of message teach.
 struct Heard<'a> {
     card: &'a PeerCard,
--- a/lib/src/hosts.rs
+++ b/lib/src/hosts.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use serde::Deserialize;
@@ -112,7 +113,7 @@
 pub struct HostList {
     /// The daemons' hosts, ordered by name.
     pub daemons: Vec<DaemonHost>,
-    leafs: HashMap<LeafKey, LeafHost>,
+    leafs: HashMap<LeafKey, Arc<LeafHost>>,
     keys: HashMap<LeafName, LeafKey>,
 }
 
@@ -132,7 +133,7 @@
             }
             let key = registry.key(&leaf.name);
             keys.insert(leaf.name.clone(), key);
-            if let Some(earlier) = leafs.insert(key, leaf) {
+            if let Some(earlier) = leafs.insert(key, Arc::new(leaf)) {
                 return Err(HostListError::Twice(earlier.name.to_string()));
             }
         }
@@ -145,12 +146,12 @@
     }
 
     /// Finds a listed leaf.
-    pub fn leaf(&self, key: LeafKey) -> Option<&LeafHost> {
+    pub fn leaf(&self, key: LeafKey) -> Option<&Arc<LeafHost>> {
         self.leafs.get(&key)
     }
 
     /// Returns all listed leafs in no particular order.
-    pub fn leafs(&self) -> impl Iterator<Item = (LeafKey, &LeafHost)> {
+    pub fn leafs(&self) -> impl Iterator<Item = (LeafKey, &Arc<LeafHost>)> {
         self.leafs.iter().map(|(&key, leaf)| (key, leaf))
     }
 
--- a/lib/src/layout.rs
+++ b/lib/src/layout.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::hosts::HostList;
+use crate::hosts::LeafRegistry;
 use crate::ids::IndexName;
 use crate::ids::IndexVersion;
 use crate::ids::LeafKey;
@@ -88,7 +88,7 @@
 }
 
 impl IndexSnapshot {
-    fn new(index: &IndexName, raw: &RawVersion, hosts: &HostList) -> Result<Self> {
+    fn new(index: &IndexName, raw: &RawVersion, registry: &LeafRegistry) -> Result<Self> {
         let count = raw.shards.len();
         if count == 0 || count > MAX_SHARDS {
             let (index, version) = (index.clone(), raw.version);
@@ -98,7 +98,7 @@
         let mut replicas = Vec::new();
         for shard in &raw.shards {
             first_replica.push(replicas.len() as u32);
-            replicas.extend(shard.iter().filter_map(|name| hosts.leaf_key(name)));
+            replicas.extend(shard.iter().map(|name| registry.key(name)));
         }
         first_replica.push(replicas.len() as u32);
         Ok(Self { index: index.clone(), version: raw.version, first_replica, replicas })
@@ -125,13 +125,14 @@
 }
 
 impl Layout {
-    /// Checks a published layout and resolves leaf names by the host list.
-    pub fn new(raw: &RawLayout, hosts: &HostList) -> Result<Self> {
+    /// Checks a published layout. Leafs that are not in the host list keep their places; they cannot
+    /// be called until they are listed.
+    pub fn new(raw: &RawLayout, registry: &LeafRegistry) -> Result<Self> {
         let mut indexes: HashMap<IndexName, Vec<Arc<IndexSnapshot>>> = HashMap::new();
         for raw_index in &raw.indexes {
             let versions = indexes.entry(raw_index.name.clone()).or_default();
             for raw_version in &raw_index.versions {
-                let snapshot = IndexSnapshot::new(&raw_index.name, raw_version, hosts)?;
+                let snapshot = IndexSnapshot::new(&raw_index.name, raw_version, registry)?;
                 if versions.iter().any(|v| v.version == snapshot.version) {
                     let (index, version) = (snapshot.index, snapshot.version);
                     return Err(LayoutError::Twice { index, version });
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -63,7 +63,7 @@
     /// The leaf's key.
     pub key: LeafKey,
     /// What the host list says of it.
-    pub host: LeafHost,
+    pub host: Arc<LeafHost>,
     /// Connections to it.
     pub pool: Pool,
     state: Mutex<LeafState>,
@@ -71,7 +71,7 @@
 
 impl Leaf {
     /// Makes a leaf that was never called.
-    pub fn new(key: LeafKey, host: LeafHost, route: Route) -> Self {
+    pub fn new(key: LeafKey, host: Arc<LeafHost>, route: Route) -> Self {
         let mut belief = Belief::default();
         belief.listed(host.state == HostState::Leaving);
         let pool = Pool::new(route.connections());
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -100,6 +100,7 @@
     refused: u64,
     window: Window,
     demand: Demand,
+    is_borrowing: bool,
 }
 
 /// What happened since demand was last measured.
@@ -133,6 +134,7 @@
             refused: 0,
             window: Window::default(),
             demand: Demand::default(),
+            is_borrowing: false,
         };
         limits.set_share(share, now);
         limits
@@ -140,6 +142,9 @@
 
     /// Changes the share from now on.
     pub fn set_share(&mut self, share: HostShare, now: Instant) {
+        if share == self.share && self.queries.rate > 0.0 {
+            return;
+        }
         self.share = share;
         self.queries.set_rate(share.queries_per_second, 1.0, now);
         self.effort.set_rate(share.effort_us_per_second, 1.0, now);
@@ -221,6 +226,16 @@
         self.share
     }
 
+    /// Marks whether part of the share is borrowed, which has to be renewed.
+    pub fn set_borrowing(&mut self, is_borrowing: bool) {
+        self.is_borrowing = is_borrowing;
+    }
+
+    /// Whether part of the share is borrowed.
+    pub fn is_borrowing(&self) -> bool {
+        self.is_borrowing
+    }
+
     /// Returns the queries admitted so far.
     pub fn admitted(&self) -> u64 {
         self.admitted
--- a/lib/src/publication.rs
+++ b/lib/src/publication.rs
@@ -95,13 +95,12 @@
 pub struct View {
     /// The catalogue in force.
     pub catalogue: Arc<Catalogue>,
-    /// The layout in force, resolved by the host list in force.
+    /// The layout in force.
     pub layout: Arc<Layout>,
     /// The host list in force.
     pub hosts: Arc<HostList>,
     /// The leafs of the host list.
     pub leafs: Arc<LeafTable>,
-    raw_layout: Arc<RawLayout>,
     documents: [Option<Document>; 3],
 }
 
@@ -137,27 +136,20 @@
         match kind {
             DocumentKind::Catalogue => next.catalogue = Arc::new(parse_catalogue(&document.body)?),
             DocumentKind::Layout => {
-                next.raw_layout =
-                    Arc::new(RawLayout::parse(&document.body).map_err(PublicationError::Layout)?);
-                next.resolve_layout()?;
+                let raw = RawLayout::parse(&document.body).map_err(PublicationError::Layout)?;
+                let layout = Layout::new(&raw, registry).map_err(PublicationError::Layout)?;
+                next.layout = Arc::new(layout);
             }
             DocumentKind::Hosts => {
                 let raw = RawHostList::parse(&document.body).map_err(PublicationError::Hosts)?;
                 let hosts = HostList::new(raw, registry).map_err(PublicationError::Hosts)?;
                 next.leafs = Arc::new(self.leafs.next(&self.hosts, &hosts, own));
                 next.hosts = Arc::new(hosts);
-                next.resolve_layout()?;
             }
         }
         next.documents[kind as usize] = Some(document);
         Ok(next)
     }
-
-    fn resolve_layout(&mut self) -> Result<()> {
-        let layout = Layout::new(&self.raw_layout, &self.hosts);
-        self.layout = Arc::new(layout.map_err(PublicationError::Layout)?);
-        Ok(())
-    }
 }
 
 fn parse_catalogue(body: &[u8]) -> Result<Catalogue> {
--- a/lib/src/shares.rs
+++ b/lib/src/shares.rs
@@ -274,6 +274,11 @@
         })
     }
 
+    /// Whether this host holds a loan for an entry.
+    pub fn is_borrowing(&self, entry: &EntryName) -> bool {
+        self.lent_in.iter().any(|loan| loan.entry == *entry)
+    }
+
     /// Sums loans per entry, for the state dump: lent out is negative.
     pub fn balances(&self, now: Instant) -> HashMap<EntryName, f64> {
         let mut balances: HashMap<EntryName, f64> = HashMap::new();
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -1,11 +1,13 @@
 //! The tables that all workers of one process share.
 //!
-//! Lock order: `view`, then `entries`, then one entry's tables, then `indexes`, then a leaf's state,
+//! Lock order: `draining`, then `view`, then `entries`, then one entry's tables, then `indexes`, then a leaf's state,
 //! then `quarantine`, then `ledger`. No lock is held across an await.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,9 +25,11 @@
 use crate::ids::HostName;
 use crate::ids::Incarnation;
 use crate::ids::IndexName;
+use crate::ids::LeafKey;
 use crate::ids::QueryId;
 use crate::ids::Zone;
 use crate::latency::LatencyTracker;
+use crate::leaf::Leaf;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
 use crate::ledger::Ledger;
@@ -57,6 +61,20 @@
     pub extra_load: Mutex<ExtraLoadBudget>,
 }
 
+/// Decides this host's part of an entry's limits.
+pub trait ShareSource: Send + Sync {
+    /// Returns the present share.
+    fn share(&self, entry: &Entry, now: Instant) -> HostShare;
+}
+
+/// A leaf that said that it is leaving.
+pub struct DrainingLeaf {
+    /// The leaf.
+    pub leaf: Arc<Leaf>,
+    /// Time since it said so.
+    pub age: Duration,
+}
+
 /// The shared tables.
 pub struct Tier {
     /// Who this process is.
@@ -71,10 +89,13 @@
     pub backend: Box<dyn LeafBackend>,
     /// Calls leafs through other hosts.
     pub relays: Arc<RelayLinks>,
+    /// Decides shares of limits; without it, this process has the whole limits.
+    pub share_source: OnceLock<Box<dyn ShareSource>>,
     view: RwLock<Arc<View>>,
     registry: LeafRegistry,
     entries: Mutex<HashMap<EntryName, Arc<EntryState>>>,
     indexes: Mutex<HashMap<IndexName, Arc<Mutex<LatencyTracker>>>>,
+    draining: Mutex<HashSet<LeafKey>>,
     next_query: AtomicU64,
 }
 
@@ -88,10 +109,12 @@
             ledger: Mutex::default(),
             backend,
             relays,
+            share_source: OnceLock::new(),
             view: RwLock::default(),
             registry: LeafRegistry::default(),
             entries: Mutex::default(),
             indexes: Mutex::default(),
+            draining: Mutex::default(),
             next_query: AtomicU64::new(1),
         }
     }
@@ -115,19 +138,49 @@
         QueryId { incarnation: self.identity.incarnation, number }
     }
 
-    /// Returns the tables of an entry, made on first use with nothing of its limits.
+    /// Returns the tables of an entry, made on first use.
     pub fn entry_state(&self, entry: &Entry, now: Instant) -> Arc<EntryState> {
+        if let Some(state) = self.known_entry_state(&entry.name) {
+            return state;
+        }
+        // Asked before the lock is taken, as the source has locks that go before it.
+        let share = self.share_source.get().map(|source| source.share(entry, now));
+        let share = share.unwrap_or_else(|| HostShare::of(&entry.limits, 1.0));
+        let new = || {
+            Arc::new(EntryState {
+                limits: Mutex::new(EntryLimits::new(share, now)),
+                extra_load: Mutex::default(),
+            })
+        };
         let mut entries = self.entries.lock().unwrap();
-        if let Some(state) = entries.get(&entry.name) {
-            return state.clone();
+        entries.entry(entry.name.clone()).or_insert_with(new).clone()
+    }
+
+    /// Returns the tables of an entry that was used before.
+    pub fn known_entry_state(&self, entry: &EntryName) -> Option<Arc<EntryState>> {
+        self.entries.lock().unwrap().get(entry).cloned()
+    }
+
+    /// Records that a leaf said that it is leaving.
+    pub fn note_draining(&self, leaf: LeafKey) {
+        self.draining.lock().unwrap().insert(leaf);
+    }
+
+    /// Returns the leafs that said so, as long as that is remembered.
+    pub fn draining(&self, now: Instant) -> Vec<DrainingLeaf> {
+        let mut draining = self.draining.lock().unwrap();
+        if draining.is_empty() {
+            return Vec::new();
         }
-        let share = HostShare::of(&entry.limits, 0.0);
-        let state = Arc::new(EntryState {
-            limits: Mutex::new(EntryLimits::new(share, now)),
-            extra_load: Mutex::default(),
-        });
-        entries.insert(entry.name.clone(), state.clone());
-        state
+        let view = self.view();
+        let remembered = |key: &LeafKey| {
+            let leaf = view.leafs.get(*key)?.clone();
+            let age = leaf.state().belief.draining_age(now)?;
+            Some(DrainingLeaf { leaf, age })
+        };
+        let found: Vec<_> = draining.iter().filter_map(remembered).collect();
+        draining.retain(|key| found.iter().any(|drain| drain.leaf.key == *key));
+        found
     }
 
     /// Returns the tables of all entries used so far.
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -92,14 +92,15 @@
         .collect();
     let hosts = serde_json::json!({ "daemons": [], "leafs": leafs });
     let hosts: RawHostList = serde_json::from_value(hosts).expect("the host list is sound");
-    let hosts = HostList::new(hosts, &LeafRegistry::default()).expect("the host list is sound");
+    let registry = LeafRegistry::default();
+    HostList::new(hosts, &registry).expect("the host list is sound");
     let shards: Vec<_> =
         (0..SHARDS).map(|n| [format!("leaf-{n}"), format!("leaf-{}", (n + 1) % LEAFS)]).collect();
     let layout = serde_json::json!({
         "indexes": [{ "name": "careline", "versions": [{ "version": 7, "shards": shards }] }]
     });
     let layout: RawLayout = serde_json::from_value(layout).expect("the layout is sound");
-    let layout = Layout::new(&layout, &hosts).expect("the layout is sound");
+    let layout = Layout::new(&layout, &registry).expect("the layout is sound");
     let entry = catalogue.entry(entry).expect("the entry exists").clone();
     let snapshot = layout.versions(&entry.index)[0].clone();
     QueryPlan {
