shares: visit idle entries no more than once a second

Now a beat visits entries with loans, and all of them each second or when the seat, the contact or the catalogue changed; idle entries are not measured. pool: tried to prefer connections that the calling worker drives; out again.

--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -3,7 +3,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::thread::ThreadId;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,9 +71,6 @@
     /// Sends a request and returns the body of the answer.
     fn exchange<'a>(&'a mut self, path: &'static str, body: Bytes) -> BoxFuture<'a, Result<Bytes>>;
 
-    /// Returns the thread that drives this connection's socket.
-    fn home(&self) -> ThreadId;
-
     /// Whether another exchange may be tried on this connection.
     fn is_usable(&self) -> bool;
 }
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -23,6 +23,8 @@
 
 /// Time between two beats of the control loop.
 const BEAT: Duration = Duration::from_millis(200);
+/// Beats between two visits of all used entries.
+const REFRESH_BEATS: u64 = 5;
 /// Mean time between two exchanges with peers.
 const EXCHANGE_EVERY: Duration = Duration::from_millis(1_000);
 /// Time between two rounds of borrowing.
@@ -144,7 +146,7 @@
 
 async fn beat(daemon: Arc<Daemon>) {
     let mut measured_at = Instant::now();
-    loop {
+    for beat in 1_u64.. {
         let now = Instant::now();
         if let Some(gap) = daemon.lifecycle.beat(now) {
             Event::Paused.warn(&format!("for {} ms", gap.as_millis()));
@@ -152,6 +154,9 @@
         }
         daemon.measure_demand(now.saturating_duration_since(measured_at));
         measured_at = now;
+        if beat.is_multiple_of(REFRESH_BEATS) {
+            daemon.peers.shares.lock().unwrap().refresh();
+        }
         daemon.apply_shares(now);
         tokio::time::sleep(BEAT).await;
     }
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -221,27 +221,29 @@
 
     /// Measures the demand for each used entry since the last call.
     pub fn measure_demand(&self, passed: Duration) {
-        let view = self.tier.view();
-        for (name, state) in self.tier.entry_states() {
-            if let Some(entry) = view.catalogue.entry(name.as_str()) {
-                state.limits.lock().unwrap().measure(&entry.limits, passed);
-            }
-        }
+        self.tier.for_each_entry(|_, state| {
+            state.limits.lock().unwrap().measure(passed);
+        });
     }
 
-    /// Gives each used entry this host's present share of its limits.
+    /// Gives used entries this host's present share of their limits: all of them if the seat, the
+    /// contact or the catalogue changed, else those with loans.
     pub fn apply_shares(&self, now: Instant) {
         let view = self.tier.view();
         let fenced = self.is_fenced(&view, now);
         let mut shares = self.peers.shares.lock().unwrap();
-        shares.tick(!fenced, now);
-        for (name, state) in self.tier.entry_states() {
-            let Some(entry) = view.catalogue.entry(name.as_str()) else { continue };
-            let share = shares.share(&name, &entry.limits, fenced, now);
+        let catalogue = view.revision(DocumentKind::Catalogue);
+        let changed = shares.tick(!fenced, catalogue, now);
+        self.tier.for_each_entry(|name, state| {
+            if !changed.includes(name) {
+                return;
+            }
+            let Some(entry) = view.catalogue.entry(name.as_str()) else { return };
+            let share = shares.share(name, &entry.limits, fenced, now);
             let mut limits = state.limits.lock().unwrap();
-            limits.set_share(share, now);
-            limits.set_borrowing(shares.is_borrowing(&name));
-        }
+            limits.set_share(entry.limits, share, now);
+            limits.set_borrowing(shares.is_borrowing(name));
+        });
     }
 
     /// Whether this host has lost both the platform and most of its zone.
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -445,17 +445,14 @@
 
     /// Returns the entries whose demand exceeds this host's share, or that it has loans for.
     pub fn deficits(&self) -> Vec<Deficit> {
-        let view = self.tier.view();
         let mut deficits = Vec::new();
-        for (name, state) in self.tier.entry_states() {
-            let Some(entry) = view.catalogue.entry(name.as_str()) else { continue };
+        self.tier.for_each_entry(|name, state| {
             let limits = state.limits.lock().unwrap();
-            let share = limits.share().queries_per_second / entry.limits.queries_per_second;
-            let fraction = limits.demand().asked * WANT_HEADROOM - share;
-            if fraction > 0.0 || limits.demand().asked > SMALLEST_WANT && limits.is_borrowing() {
-                deficits.push(Deficit { entry: name, fraction });
+            let fraction = limits.deficit();
+            if fraction > 0.0 || limits.is_borrowing() {
+                deficits.push(Deficit { entry: name.clone(), fraction });
             }
-        }
+        });
         deficits
     }
 
@@ -498,8 +495,6 @@
     }
 }
 
-/// Factor on the demand up to which a host borrows.
-const WANT_HEADROOM: f64 = 1.1;
 /// Smallest fraction of an entry's limits that is asked for.
 const SMALLEST_WANT: f64 = 0.0005;
 
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::thread::ThreadId;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -60,7 +59,6 @@
 struct HttpLeafConnection {
     peer: SocketAddr,
     host: header::HeaderValue,
-    home: ThreadId,
     sender: http1::SendRequest<Full<Bytes>>,
 }
 
@@ -78,7 +76,7 @@
             let _ = conn.await;
         });
         let host = header::HeaderValue::try_from(peer.to_string()).expect("an address is ASCII");
-        Ok(Self { peer, host, home: std::thread::current().id(), sender })
+        Ok(Self { peer, host, sender })
     }
 
     async fn run(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
@@ -110,10 +108,6 @@
         Box::pin(self.run(path, body))
     }
 
-    fn home(&self) -> ThreadId {
-        self.home
-    }
-
     fn is_usable(&self) -> bool {
         !self.sender.is_closed()
     }
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -84,6 +84,10 @@
 
 /// Weight of a new measurement in the running mean of demand.
 const DEMAND_WEIGHT: f64 = 0.3;
+/// Demand below which an entry counts as idle, as a fraction of its limits.
+const NO_DEMAND: f64 = 1e-6;
+/// Factor on the demand up to which a host borrows.
+const DEMAND_HEADROOM: f64 = 1.1;
 /// The longest wait that a refusal names.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// The wait that a refusal for concurrency names.
@@ -92,6 +96,7 @@
 /// The use of one entry's limits on this host.
 #[derive(Clone, Debug)]
 pub struct EntryLimits {
+    limits: Limits,
     share: HostShare,
     queries: Bucket,
     effort: Bucket,
@@ -123,9 +128,10 @@
 }
 
 impl EntryLimits {
-    /// Starts with a share; nothing is in progress.
-    pub fn new(share: HostShare, now: Instant) -> Self {
-        let mut limits = Self {
+    /// Starts with a share of the entry's limits; nothing is in progress.
+    pub fn new(limits: Limits, share: HostShare, now: Instant) -> Self {
+        let mut entry = Self {
+            limits,
             share,
             queries: Bucket::new(now),
             effort: Bucket::new(now),
@@ -136,12 +142,13 @@
             demand: Demand::default(),
             is_borrowing: false,
         };
-        limits.set_share(share, now);
-        limits
+        entry.set_share(limits, share, now);
+        entry
     }
 
-    /// Changes the share from now on.
-    pub fn set_share(&mut self, share: HostShare, now: Instant) {
+    /// Changes the entry's limits and this host's share of them from now on.
+    pub fn set_share(&mut self, limits: Limits, share: HostShare, now: Instant) {
+        self.limits = limits;
         if share == self.share && self.queries.rate > 0.0 {
             return;
         }
@@ -201,7 +208,11 @@
     }
 
     /// Measures the demand since the last call, which was `passed` ago.
-    pub fn measure(&mut self, limits: &Limits, passed: Duration) -> Demand {
+    pub fn measure(&mut self, passed: Duration) -> Demand {
+        if self.is_idle() {
+            return self.demand;
+        }
+        let limits = self.limits;
         let window = std::mem::take(&mut self.window);
         self.window.most_in_progress = self.in_progress;
         self.window.most_asked_in_progress = self.in_progress;
@@ -216,6 +227,16 @@
         self.demand
     }
 
+    fn is_idle(&self) -> bool {
+        self.window.asked == 0 && self.in_progress == 0 && self.demand.asked < NO_DEMAND
+    }
+
+    /// Returns the part of the limits that the demand lacks; below 0 where the share exceeds it.
+    pub fn deficit(&self) -> f64 {
+        let share = self.share.queries_per_second / self.limits.queries_per_second;
+        self.demand.asked * DEMAND_HEADROOM - share
+    }
+
     /// Returns the demand measured last.
     pub fn demand(&self) -> Demand {
         self.demand
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -52,18 +52,14 @@
         }
     }
 
-    /// Takes an idle connection, or leave to open one. A connection that the present thread drives
-    /// goes first, as it needs no wake-up of another thread.
+    /// Takes an idle connection, or leave to open one.
     pub fn acquire(&self) -> Acquired {
-        let here = std::thread::current().id();
         let mut state = self.state.lock().unwrap();
-        let idle_before = state.idle.len();
-        state.idle.retain(|idle| idle.0.is_usable());
-        state.open -= (idle_before - state.idle.len()) as u32;
-        let at_home = state.idle.iter().rposition(|idle| idle.0.home() == here);
-        let last = state.idle.len().checked_sub(1);
-        if let Some(place) = at_home.or(last) {
-            return Acquired::Idle(state.idle.swap_remove(place).0);
+        while let Some(IdleConnection(conn)) = state.idle.pop() {
+            if conn.is_usable() {
+                return Acquired::Idle(conn);
+            }
+            state.open -= 1;
         }
         if state.open < state.limit {
             state.open += 1;
--- a/lib/src/shares.rs
+++ b/lib/src/shares.rs
@@ -6,6 +6,7 @@
 //! than its borrower: the borrower from before its request, the giver from after it plus a margin.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use crate::ids::EntryName;
 use crate::ids::HostName;
 use crate::ids::Incarnation;
+use crate::ids::Revision;
 use crate::lifecycle::PAUSE_LIMIT;
 use crate::limits::HostShare;
 use crate::peer_protocol::Loan;
@@ -80,6 +82,34 @@
     }
 }
 
+/// What all shares depend on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Applied {
+    seat: Option<Seat>,
+    has_contact: bool,
+    settled: bool,
+    catalogue: Revision,
+}
+
+/// Entries whose share may have changed.
+#[derive(Clone, Debug)]
+pub enum ChangedShares {
+    /// Every entry.
+    All,
+    /// These ones.
+    Some(HashSet<EntryName>),
+}
+
+impl ChangedShares {
+    /// Whether an entry's share may have changed.
+    pub fn includes(&self, entry: &EntryName) -> bool {
+        match self {
+            Self::All => true,
+            Self::Some(entries) => entries.contains(entry),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Growth {
     seat: Seat,
@@ -107,6 +137,8 @@
 /// The shares of one process.
 #[derive(Debug)]
 pub struct ShareBook {
+    applied: Option<Applied>,
+    with_loans: HashSet<EntryName>,
     seat: Option<Seat>,
     growth: Option<Growth>,
     held_until: Instant,
@@ -119,6 +151,8 @@
     /// unless the zone's hosts say that there are none.
     pub fn new(now: Instant) -> Self {
         Self {
+            applied: None,
+            with_loans: HashSet::new(),
             seat: None,
             growth: None,
             held_until: now + LEASE + LEASE_MARGIN,
@@ -159,14 +193,31 @@
     }
 
     /// Lets a larger share count once its time has come, and drops ended leases. `has_contact` says
-    /// whether this host hears the platform or most of its zone.
-    pub fn tick(&mut self, has_contact: bool, now: Instant) {
+    /// whether this host hears the platform or most of its zone. Returns the entries whose share may
+    /// have changed since the last call.
+    pub fn tick(&mut self, has_contact: bool, catalogue: Revision, now: Instant) -> ChangedShares {
         if let Some(growth) = self.growth.filter(|growth| growth.at <= now && has_contact) {
             self.seat = Some(growth.seat);
             self.growth = None;
         }
         self.out.retain(|loan| loan.until > now);
         self.lent_in.retain(|loan| loan.until > now);
+        let settled = now >= self.held_until;
+        let present = Applied { seat: self.seat, has_contact, settled, catalogue };
+        let entries = self.out.iter().map(|loan| &loan.entry);
+        let entries = entries.chain(self.lent_in.iter().map(|loan| &loan.entry));
+        let with_loans: HashSet<_> = entries.cloned().collect();
+        let before = std::mem::replace(&mut self.with_loans, with_loans);
+        if self.applied.replace(present) != Some(present) {
+            return ChangedShares::All;
+        }
+        ChangedShares::Some(self.with_loans.union(&before).cloned().collect())
+    }
+
+    /// Makes the next [`ShareBook::tick`] return every entry, for entries that came into use while
+    /// something changed.
+    pub fn refresh(&mut self) {
+        self.applied = None;
     }
 
     /// Returns this host's share of an entry's limits now.
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -148,7 +148,7 @@
         let share = share.unwrap_or_else(|| HostShare::of(&entry.limits, 1.0));
         let new = || {
             Arc::new(EntryState {
-                limits: Mutex::new(EntryLimits::new(share, now)),
+                limits: Mutex::new(EntryLimits::new(entry.limits, share, now)),
                 extra_load: Mutex::default(),
             })
         };
@@ -183,6 +183,13 @@
         found
     }
 
+    /// Visits the tables of all entries used so far. The visitor may lock an entry's tables and what
+    /// follows them in the lock order.
+    pub fn for_each_entry(&self, mut visit: impl FnMut(&EntryName, &EntryState)) {
+        let entries = self.entries.lock().unwrap();
+        entries.iter().for_each(|(name, state)| visit(name, state));
+    }
+
     /// Returns the tables of all entries used so far.
     pub fn entry_states(&self) -> Vec<(EntryName, Arc<EntryState>)> {
         let entries = self.entries.lock().unwrap();
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -7,6 +7,7 @@
 use jasmineusher_lib::ids::EntryName;
 use jasmineusher_lib::ids::HostName;
 use jasmineusher_lib::ids::Incarnation;
+use jasmineusher_lib::ids::Revision;
 use jasmineusher_lib::limits::EntryLimits;
 use jasmineusher_lib::peer_protocol::Loan;
 use jasmineusher_lib::shares::Asked;
@@ -76,12 +77,12 @@
     book.take_seat(Some(fewer), now);
     let share =
         |book: &ShareBook, at| book.share(&entry(), &limits(), false, at).queries_per_second;
-    book.tick(true, now + FENCE);
+    book.tick(true, Revision(1), now + FENCE);
     assert_eq!(share(&book, now + FENCE), 25.0);
     let later = now + FENCE + LEASE_MARGIN;
-    book.tick(false, later);
+    book.tick(false, Revision(1), later);
     assert_eq!(share(&book, later), 25.0, "without contact nothing grows");
-    book.tick(true, later);
+    book.tick(true, Revision(1), later);
     assert_eq!(share(&book, later), 50.0);
     book.take_seat(Some(seat(0)), later);
     assert_eq!(share(&book, later), 25.0);
@@ -120,7 +121,7 @@
 fn refusals_name_the_limit_that_is_used_up_and_an_honest_wait() {
     let now = Instant::now();
     let share = jasmineusher_lib::limits::HostShare::of(&limits(), 0.02);
-    let mut entry = EntryLimits::new(share, now);
+    let mut entry = EntryLimits::new(limits(), share, now);
     assert!(entry.begin(now).is_ok());
     let refusal = entry.begin(now).expect_err("one a second has no second place");
     insta::assert_debug_snapshot!(refusal, @r"
@@ -231,7 +232,9 @@
             Step::Restart { host, hears_peers } => self.restart(host, hears_peers),
             Step::Pass(ms) => self.now += Duration::from_millis(ms),
         }
-        self.books.iter_mut().for_each(|book| book.tick(true, self.now));
+        for book in &mut self.books {
+            book.tick(true, Revision(1), self.now);
+        }
     }
 
     fn restart(&mut self, number: usize, hears_peers: bool) {
