query: hedge a hedge that is slow itself; split large modules

Now the newest call of a shard is hedged as long as there is an untried leaf and credit, and tried again after each delay.

--- a/bench/src/peers.rs
+++ b/bench/src/peers.rs
@@ -17,6 +17,7 @@
 use jasmineusher_lib::peer_protocol::EXCHANGE_PATH;
 use jasmineusher_lib::peer_protocol::ExchangeReply;
 use jasmineusher_lib::peer_protocol::ExchangeRequest;
+use jasmineusher_lib::peer_protocol::News;
 use jasmineusher_lib::peer_protocol::PROTOCOL_VERSION;
 use jasmineusher_lib::peer_protocol::PeerCard;
 use jasmineusher_lib::peer_protocol::REPLY_PURPOSE;
@@ -106,11 +107,7 @@
             version: PROTOCOL_VERSION,
             to: Some(to.clone()),
             nonce: 1,
-            from: shared.card(from.clone()),
-            revisions: revisions(&shared.known.lock().unwrap().view),
-            platform_age_ms: Some(100),
-            strikes: Vec::new(),
-            drains: Vec::new(),
+            news: shared.news(from.clone()),
             wants: Vec::new(),
             starting: false,
         };
@@ -122,33 +119,38 @@
 }
 
 impl Shared {
-    fn card(&self, host: HostName) -> PeerCard {
-        PeerCard {
+    fn news(&self, host: HostName) -> News {
+        let from = PeerCard {
             host,
             zone: self.zone.clone(),
             addr: self.addr,
             incarnation: Incarnation(1),
             phase: Phase::Ready,
+        };
+        News {
+            from,
+            revisions: revisions(&self.known.lock().unwrap().view),
+            platform_age_ms: Some(100),
+            strikes: Vec::new(),
+            drains: Vec::new(),
         }
     }
 }
 
 async fn answer(shared: Arc<Shared>, req: StandInRequest) -> Option<StandInReply> {
     let req: ExchangeRequest = decode(&req.body).ok()?;
-    let known = shared.known.lock().unwrap();
+    let transfers = {
+        let known = shared.known.lock().unwrap();
+        known.archive.transfers(&known.view, &req.news.revisions)
+    };
     let reply = ExchangeReply {
         version: PROTOCOL_VERSION,
         nonce: req.nonce,
-        from: shared.card(req.to.clone()?),
-        revisions: revisions(&known.view),
-        platform_age_ms: Some(100),
-        strikes: Vec::new(),
-        drains: Vec::new(),
-        transfers: known.archive.transfers(&known.view, &req.revisions),
+        news: shared.news(req.to.clone()?),
+        transfers,
         loans: Vec::new(),
         holds_your_loan: false,
     };
-    drop(known);
     let body = encode(&reply);
     let signature = shared.keys.sign(REPLY_PURPOSE, &body);
     Some(StandInReply { signature: Some(signature), ..StandInReply::ok(body) })
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -2,28 +2,22 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use serde::Serialize;
-use serde_json::value::RawValue;
-use tokio::sync::Notify;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::backend::BackendError;
 use crate::backend::LeafConnection;
-use crate::catalogue::Class;
-use crate::catalogue::Entry;
+use crate::call_context::CallContext;
+use crate::call_context::CallControl;
+use crate::call_context::CallEvent;
+use crate::call_context::ChargeTo;
 use crate::events::Event;
 use crate::gate::Admission;
 use crate::gate::CallEnd;
-use crate::ids::IndexName;
-use crate::latency::LatencyTracker;
 use crate::leaf::Leaf;
 use crate::leaf_protocol::CANCEL_PATH;
 use crate::leaf_protocol::CallId;
@@ -34,135 +28,17 @@
 use crate::ledger::Charge;
 use crate::ledger::Effort;
 use crate::peer_protocol::RelayEnd;
+use crate::plan::Loss;
+use crate::plan::SendCall;
 use crate::pool::Acquired;
-use crate::query::Loss;
-use crate::query::SendCall;
 use crate::relay::RelayHost;
 use crate::relay::Route;
 use crate::relay_link::RelayOutcome;
 use crate::tier::CONNECT_LIMIT;
-use crate::tier::EntryState;
-use crate::tier::Tier;
 
 /// How long a cancelled call may still answer before its connection is closed.
 const CANCEL_GRACE: Duration = Duration::from_millis(300);
 
-const WAITING: u8 = 0;
-const WRITTEN: u8 = 1;
-const WITHDRAWN: u8 = 2;
-
-/// What a cancellation achieved.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cancelled {
-    /// No byte of the call was or will be written.
-    Withdrawn,
-    /// The call may have run or may still run.
-    MayHaveRun,
-}
-
-/// Lets the owner of a query cancel one call.
-#[derive(Debug, Default)]
-pub struct CallControl {
-    phase: AtomicU8,
-    written_at: OnceLock<Instant>,
-    cancelled: Notify,
-}
-
-impl CallControl {
-    /// Cancels the call.
-    pub fn cancel(&self) -> Cancelled {
-        let withdrawn = self.move_from_waiting(WITHDRAWN);
-        self.cancelled.notify_one();
-        if withdrawn { Cancelled::Withdrawn } else { Cancelled::MayHaveRun }
-    }
-
-    /// Takes the call back if no byte was written.
-    pub fn withdraw(&self) -> bool {
-        let withdrawn = self.move_from_waiting(WITHDRAWN);
-        if withdrawn {
-            self.cancelled.notify_one();
-        }
-        withdrawn
-    }
-
-    /// Returns when a byte of the call may first have been written.
-    pub fn written_at(&self) -> Option<Instant> {
-        self.written_at.get().copied()
-    }
-
-    /// Marks the call as written; fails if it was withdrawn.
-    fn begin_write(&self, now: Instant) -> bool {
-        let begun = self.move_from_waiting(WRITTEN);
-        if begun {
-            self.written_at.get_or_init(|| now);
-        }
-        begun
-    }
-
-    fn move_from_waiting(&self, to: u8) -> bool {
-        self.phase.compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
-    }
-}
-
-/// What a call tells the owner of its query.
-#[derive(Debug)]
-pub enum CallEvent {
-    /// The leaf answered.
-    Answered(CallId, LeafAnswer),
-    /// The call ended without a usable answer.
-    Lost(CallId, Loss),
-}
-
-/// What the leafs need to know of an entry.
-#[derive(Clone, Debug)]
-pub struct CallSpec {
-    /// The index.
-    pub index: IndexName,
-    /// The entry's kind of request.
-    pub kind: String,
-    /// The entry's class.
-    pub class: Class,
-    /// Whether running a call twice does no harm.
-    pub idempotent: bool,
-}
-
-impl From<&Entry> for CallSpec {
-    fn from(entry: &Entry) -> Self {
-        Self {
-            index: entry.index.clone(),
-            kind: entry.kind.clone(),
-            class: entry.class,
-            idempotent: entry.idempotent,
-        }
-    }
-}
-
-/// Who is charged for a call.
-pub struct ChargeTo {
-    /// The entry.
-    pub entry: Arc<Entry>,
-    /// The entry's tables.
-    pub entry_state: Arc<EntryState>,
-}
-
-/// What the calls of one query have in common.
-pub struct CallContext {
-    /// The shared tables.
-    pub tier: Arc<Tier>,
-    /// What is called.
-    pub spec: CallSpec,
-    /// Who is charged; nobody for a call that another host made, which charges it itself.
-    pub charge: Option<ChargeTo>,
-    /// The index's learned latency.
-    pub latency: Arc<std::sync::Mutex<LatencyTracker>>,
-    /// The caller's parameters.
-    pub params: Box<RawValue>,
-    /// When the answer is of no more use.
-    pub deadline: Instant,
-    /// Where the end of each call is told.
-    pub events: mpsc::UnboundedSender<CallEvent>,
-}
-
 /// One call in progress.
 pub struct Call {
     /// What it has in common with the query's other calls.
@@ -231,7 +107,7 @@
             result = &mut granted => {
                 result.map_err(|_| Ended::Lost(Loss::NoSlot, Effort::None))
             }
-            () = self.control.cancelled.notified() => {
+            () = self.control.cancelled() => {
                 granted.close();
                 if granted.try_recv().is_ok() {
                     leave(&self.leaf, CallEnd::Other);
@@ -340,7 +216,7 @@
         tokio::select! {
             biased;
             result = &mut exchange => return Some(result),
-            () = self.control.cancelled.notified() => {}
+            () = self.control.cancelled() => {}
         }
         self.cx.tier.counters.cancels.increment();
         self.note_unanswered(started.elapsed(), Instant::now());
@@ -365,7 +241,7 @@
         let outcome = tokio::select! {
             biased;
             outcome = &mut call => Some(outcome),
-            () = self.control.cancelled.notified() => {
+            () = self.control.cancelled() => {
                 self.cx.tier.counters.cancels.increment();
                 self.note_unanswered(started.elapsed(), Instant::now());
                 links.cancel(relays, self.send.call).await;
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -2,40 +2,33 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use thiserror::Error;
-use tokio::runtime::Handle;
 
 use crate::backend::BoxFuture;
 use crate::daemon::Daemon;
-use crate::distribution::Archive;
-use crate::distribution::PlatformContact;
 use crate::distribution::received;
 use crate::distribution::revisions;
 use crate::events::Event;
 use crate::front::StrikeTeller;
 use crate::http_client::HttpCall;
-use crate::http_client::HttpClient;
 use crate::http_client::HttpClientError;
 use crate::ids::EntryName;
 use crate::ids::HostName;
 use crate::ids::Revision;
 use crate::membership::Hearing;
-use crate::membership::Membership;
 use crate::peer_protocol::DrainNews;
 use crate::peer_protocol::EXCHANGE_PATH;
 use crate::peer_protocol::ExchangeReply;
 use crate::peer_protocol::ExchangeRequest;
-use crate::peer_protocol::KindRevision;
 use crate::peer_protocol::Loan;
 use crate::peer_protocol::MAX_DRAINS;
 use crate::peer_protocol::MAX_STRIKES;
 use crate::peer_protocol::MAX_WANTS;
+use crate::peer_protocol::News;
 use crate::peer_protocol::PROTOCOL_VERSION;
 use crate::peer_protocol::PeerCard;
 use crate::peer_protocol::ProtocolError;
@@ -46,11 +39,7 @@
 use crate::peer_protocol::encode;
 use crate::publication::DocumentKind;
 use crate::quarantine::StrikeNews;
-use crate::settings::Settings;
 use crate::shares::Asked;
-use crate::shares::FENCE;
-use crate::shares::ShareBook;
-use crate::signature::KeyRing;
 
 /// Time allowed for an exchange.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
@@ -112,93 +101,6 @@
     }
 }
 
-/// What this process knows through its peers.
-///
-/// Lock order: `membership`, `contact`, `archive`, `awaited`, `shares`; all of them before the tier's tables.
-pub struct Peers {
-    /// The peers.
-    pub membership: Mutex<Membership>,
-    /// When the platform was heard.
-    pub contact: Mutex<PlatformContact>,
-    /// Patches and revisions seen.
-    pub archive: Mutex<Archive>,
-    /// Shares of limits.
-    pub shares: Mutex<ShareBook>,
-    /// Keys that authenticate messages.
-    pub keys: KeyRing,
-    /// Calls peers.
-    pub client: HttpClient,
-    /// Hosts asked for a loan whose answer is still awaited.
-    awaited: Mutex<Vec<HostName>>,
-    /// The runtime of the control loops.
-    pub runtime: OnceLock<Handle>,
-    /// Where peers reach this process.
-    pub own_addr: OnceLock<SocketAddr>,
-}
-
-impl Peers {
-    /// Starts with no peers.
-    pub fn new(settings: &Settings, now: Instant) -> Self {
-        Self {
-            membership: Mutex::new(Membership::new(settings.host.clone(), settings.zone.clone())),
-            contact: Mutex::new(PlatformContact::new(now)),
-            archive: Mutex::default(),
-            shares: Mutex::new(ShareBook::new(now)),
-            keys: KeyRing::new(settings.peer_keys.clone()),
-            client: HttpClient::from_local(settings.local_ip()),
-            awaited: Mutex::default(),
-            runtime: OnceLock::new(),
-            own_addr: OnceLock::new(),
-        }
-    }
-
-    /// Whether this host has lost both the platform and most of its zone, so that others may take
-    /// over its share.
-    pub fn is_fenced(&self, zone_hosts: usize, now: Instant) -> bool {
-        let heard = self.membership.lock().unwrap().zone_heard(FENCE, now);
-        if (heard + 1) * 2 > zone_hosts {
-            return false;
-        }
-        self.contact.lock().unwrap().age(now).is_none_or(|age| age > FENCE)
-    }
-
-    /// Notes that an answer with a loan of `giver` may arrive, until the guard is dropped.
-    fn await_loan(&self, giver: Option<&HostName>) -> AwaitedLoan<'_> {
-        let giver = giver.cloned();
-        self.awaited.lock().unwrap().extend(giver.clone());
-        AwaitedLoan { peers: self, giver }
-    }
-
-    /// Whether a loan of an earlier run of `giver` is held or may still arrive.
-    fn may_hold_loan_of(&self, giver: &PeerCard, now: Instant) -> bool {
-        if self.awaited.lock().unwrap().contains(&giver.host) {
-            return true;
-        }
-        let shares = self.shares.lock().unwrap();
-        shares.holds_loan_of(&giver.host, giver.incarnation, now)
-    }
-
-    /// Forgets what was heard, after a pause.
-    pub fn forget_heard(&self) {
-        self.membership.lock().unwrap().forget_heard();
-        self.contact.lock().unwrap().forget();
-    }
-}
-
-/// Ends the wait for a loan when dropped.
-struct AwaitedLoan<'a> {
-    peers: &'a Peers,
-    giver: Option<HostName>,
-}
-
-impl Drop for AwaitedLoan<'_> {
-    fn drop(&mut self) {
-        let mut awaited = self.peers.awaited.lock().unwrap();
-        let place = self.giver.as_ref().and_then(|giver| awaited.iter().position(|g| g == giver));
-        place.map(|place| awaited.swap_remove(place));
-    }
-}
-
 /// Exchanges of one daemon.
 impl Daemon {
     fn card(&self) -> PeerCard {
@@ -216,6 +118,16 @@
         self.peers.contact.lock().unwrap().age(now).map(|age| age.as_millis() as u64)
     }
 
+    fn news(&self, now: Instant) -> News {
+        News {
+            from: self.card(),
+            revisions: revisions(&self.tier.view()),
+            platform_age_ms: self.platform_age_ms(now),
+            strikes: self.strike_news(now),
+            drains: self.drain_news(now),
+        }
+    }
+
     fn strike_news(&self, now: Instant) -> Vec<StrikeNews> {
         let mut news = self.tier.quarantine.lock().unwrap().news(now);
         news.sort_by_key(|news| std::cmp::Reverse(news.remaining_ms));
@@ -232,26 +144,26 @@
         news.collect()
     }
 
-    fn hear_common(&self, heard: Heard<'_>, now: Instant) {
-        let their_hosts = heard.revisions.iter().find(|r| r.kind == DocumentKind::Hosts);
+    fn hear(&self, news: &News, now: Instant) {
+        let their_hosts = news.revisions.iter().find(|r| r.kind == DocumentKind::Hosts);
         let their_hosts = their_hosts.map_or(Revision(0), |r| r.revision);
-        let hearing = self.peers.membership.lock().unwrap().heard(heard.card, their_hosts, now);
+        let hearing = self.peers.membership.lock().unwrap().heard(&news.from, their_hosts, now);
         match hearing {
-            Hearing::NewRun => Event::PeerJoined.info(&format!("host {}", heard.card.host)),
-            Hearing::BeganToLeave => Event::PeerLeaving.info(&format!("host {}", heard.card.host)),
+            Hearing::NewRun => Event::PeerJoined.info(&format!("host {}", news.from.host)),
+            Hearing::BeganToLeave => Event::PeerLeaving.info(&format!("host {}", news.from.host)),
             Hearing::Known => {}
         }
-        if let Some(age_ms) = heard.platform_age_ms {
+        if let Some(age_ms) = news.platform_age_ms {
             let age = Duration::from_millis(age_ms);
             self.peers.contact.lock().unwrap().heard_by_peer(age, now);
         }
         let mut quarantine = self.tier.quarantine.lock().unwrap();
-        for strike in heard.strikes.iter().take(MAX_STRIKES) {
+        for strike in news.strikes.iter().take(MAX_STRIKES) {
             quarantine.hear(*strike, now);
         }
         drop(quarantine);
         let view = self.tier.view();
-        for drain in heard.drains.iter().take(MAX_DRAINS) {
+        for drain in news.drains.iter().take(MAX_DRAINS) {
             let key = view.hosts.leaf_key(&drain.leaf);
             if let Some(leaf) = key.and_then(|key| view.leafs.get(key)) {
                 let age = Duration::from_millis(drain.age_ms);
@@ -309,11 +221,7 @@
             version: PROTOCOL_VERSION,
             to: peer.host.clone(),
             nonce: rand::random(),
-            from: self.card(),
-            revisions: revisions(&self.tier.view()),
-            platform_age_ms: self.platform_age_ms(now),
-            strikes: self.strike_news(now),
-            drains: self.drain_news(now),
+            news: self.news(now),
             wants,
             starting,
         }
@@ -347,7 +255,7 @@
 
     fn take_reply(&self, reply: &ExchangeReply, asked_at: Instant) {
         let now = Instant::now();
-        self.hear_common(Heard::from(reply), now);
+        self.hear(&reply.news, now);
         for transfer in &reply.transfers {
             if let Some(document) = received(transfer.clone(), &self.tier.view()) {
                 self.publish(document);
@@ -355,7 +263,7 @@
         }
         let mut shares = self.peers.shares.lock().unwrap();
         for loan in &reply.loans {
-            let from = &reply.from;
+            let from = &reply.news.from;
             shares.borrow(loan.clone(), &from.host, from.incarnation, asked_at);
         }
         drop(shares);
@@ -371,24 +279,21 @@
         let now = Instant::now();
         let req: ExchangeRequest = self.open_message(body, signature)?;
         check_addressee(req.version, req.to.as_ref(), &self.settings.host)?;
-        self.hear_common(Heard::from(&req), now);
+        self.hear(&req.news, now);
         let view = self.tier.view();
-        let transfers = self.peers.archive.lock().unwrap().transfers(&view, &req.revisions);
+        let transfers = self.peers.archive.lock().unwrap().transfers(&view, &req.news.revisions);
         let is_behind =
-            req.revisions.iter().any(|theirs| theirs.revision > view.revision(theirs.kind));
+            req.news.revisions.iter().any(|theirs| theirs.revision > view.revision(theirs.kind));
         if is_behind {
-            let peer = PeerAddr { host: Some(req.from.host.clone()), addr: req.from.addr };
+            let peer =
+                PeerAddr { host: Some(req.news.from.host.clone()), addr: req.news.from.addr };
             self.spawn_exchange(peer);
         }
-        let holds_your_loan = self.peers.may_hold_loan_of(&req.from, now);
+        let holds_your_loan = self.peers.may_hold_loan_of(&req.news.from, now);
         let reply = ExchangeReply {
             version: PROTOCOL_VERSION,
             nonce: req.nonce,
-            from: self.card(),
-            revisions: revisions(&view),
-            platform_age_ms: self.platform_age_ms(now),
-            strikes: self.strike_news(now),
-            drains: self.drain_news(now),
+            news: self.news(now),
             transfers,
             loans: self.lend(&req, now),
             holds_your_loan,
@@ -419,7 +324,7 @@
     }
 
     fn lend(&self, req: &ExchangeRequest, now: Instant) -> Vec<Loan> {
-        if req.from.zone != self.settings.zone {
+        if req.news.from.zone != self.settings.zone {
             return Vec::new();
         }
         let view = self.tier.view();
@@ -431,7 +336,7 @@
             let used = state.map_or(0.0, |state| state.limits.lock().unwrap().demand().used);
             let asked = Asked {
                 entry: &entry.name,
-                borrower: &req.from.host,
+                borrower: &req.news.from.host,
                 wanted: want.fraction,
                 used,
                 fenced,
@@ -508,39 +413,6 @@
     pub fraction: f64,
 }
 
-/// What both kinds of message teach.
-struct Heard<'a> {
-    card: &'a PeerCard,
-    revisions: &'a [KindRevision],
-    platform_age_ms: Option<u64>,
-    strikes: &'a [StrikeNews],
-    drains: &'a [DrainNews],
-}
-
-impl<'a> From<&'a ExchangeRequest> for Heard<'a> {
-    fn from(req: &'a ExchangeRequest) -> Self {
-        Self {
-            card: &req.from,
-            revisions: &req.revisions,
-            platform_age_ms: req.platform_age_ms,
-            strikes: &req.strikes,
-            drains: &req.drains,
-        }
-    }
-}
-
-impl<'a> From<&'a ExchangeReply> for Heard<'a> {
-    fn from(reply: &'a ExchangeReply) -> Self {
-        Self {
-            card: &reply.from,
-            revisions: &reply.revisions,
-            platform_age_ms: reply.platform_age_ms,
-            strikes: &reply.strikes,
-            drains: &reply.drains,
-        }
-    }
-}
-
 /// Checks that a message has the known version and is meant for this host.
 pub fn check_addressee(
     version: u32,
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -21,9 +21,9 @@
 use crate::ids::HostName;
 use crate::ids::LeafKey;
 use crate::ids::Zone;
+use crate::plan::Choice;
+use crate::plan::Purpose;
 use crate::pool::Pool;
-use crate::query::Choice;
-use crate::query::Purpose;
 use crate::relay::Route;
 use crate::relay::Router;
 
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::EntryName;
 use crate::ids::Owner;
-use crate::query::Purpose;
+use crate::plan::Purpose;
 
 /// How the effort of a call is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/lib/src/peer_protocol.rs
+++ b/lib/src/peer_protocol.rs
@@ -140,6 +140,21 @@
     },
 }
 
+/// What a host tells its peers, asked or not.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct News {
+    /// The host.
+    pub from: PeerCard,
+    /// What it has in force.
+    pub revisions: Vec<KindRevision>,
+    /// Time since the platform was heard by it or by a host that told it, in milliseconds.
+    pub platform_age_ms: Option<u64>,
+    /// Suspected requests.
+    pub strikes: Vec<StrikeNews>,
+    /// Leafs that said that they are leaving.
+    pub drains: Vec<DrainNews>,
+}
+
 /// What a host tells and asks a peer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ExchangeRequest {
@@ -149,16 +164,8 @@
     pub to: Option<HostName>,
     /// Random number that the answer repeats.
     pub nonce: u64,
-    /// The sender.
-    pub from: PeerCard,
-    /// What the sender has in force.
-    pub revisions: Vec<KindRevision>,
-    /// Time since the platform was heard by the sender or by a host that told it, in milliseconds.
-    pub platform_age_ms: Option<u64>,
-    /// Suspected requests.
-    pub strikes: Vec<StrikeNews>,
-    /// Leafs that said that they are leaving.
-    pub drains: Vec<DrainNews>,
+    /// What the sender tells.
+    pub news: News,
     /// Shares that the sender asks for.
     pub wants: Vec<Want>,
     /// Whether the sender has just started and asks whether it holds debts from an earlier run.
@@ -172,16 +179,8 @@
     pub version: u32,
     /// The request's number.
     pub nonce: u64,
-    /// The receiver of the request.
-    pub from: PeerCard,
-    /// What it has in force.
-    pub revisions: Vec<KindRevision>,
-    /// Time since it or a host that told it heard the platform, in milliseconds.
-    pub platform_age_ms: Option<u64>,
-    /// Suspected requests.
-    pub strikes: Vec<StrikeNews>,
-    /// Leafs that said that they are leaving.
-    pub drains: Vec<DrainNews>,
+    /// What the receiver of the request tells.
+    pub news: News,
     /// Documents that the requester lacks.
     pub transfers: Vec<Transfer>,
     /// Shares lent.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::ids::EntryName;
-use crate::query::Suspicion;
+use crate::plan::Suspicion;
 
 /// How long a suspicion lasts without a further strike.
 const SUSPICION_TIME: Duration = Duration::from_secs(60);
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -4,7 +4,6 @@
 //! carry out. Invariants: a query has exactly one outcome; its coverage lists exactly the shards
 //! whose hits were merged; every merged answer echoes the query, attempt, shard and pinned version.
 
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,17 +13,22 @@
 use crate::answer::Reason;
 use crate::answer::Refusal;
 use crate::catalogue::Class;
-use crate::catalogue::Entry;
 use crate::catalogue::OnVersionLoss;
 use crate::ids::Attempt;
 use crate::ids::LeafKey;
-use crate::ids::QueryId;
 use crate::ids::ShardNo;
-use crate::layout::IndexSnapshot;
 use crate::leaf_protocol::CallId;
 use crate::leaf_protocol::Hit;
 use crate::leaf_protocol::LeafAnswer;
 use crate::leaf_protocol::LeafStatus;
+use crate::plan::Actions;
+use crate::plan::Choice;
+use crate::plan::Loss;
+use crate::plan::Policy;
+use crate::plan::Purpose;
+use crate::plan::QueryPlan;
+use crate::plan::SendCall;
+use crate::plan::Suspicion;
 
 /// The most calls that one shard gets in one query, hedges and retries included.
 pub const MAX_CALLS_PER_SHARD: usize = 4;
@@ -38,117 +42,6 @@
     }
 }
 
-/// Why a leaf call is made.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Purpose {
-    /// The first call of a shard.
-    First,
-    /// A second call beside one that is slow.
-    Hedge,
-    /// A call after one that failed.
-    Retry,
-}
-
-/// A replica picked for a call.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Choice {
-    /// The leaf.
-    pub leaf: LeafKey,
-    /// Expected time until the leaf answers, queueing included.
-    pub wait: Duration,
-}
-
-/// Decisions that depend on knowledge shared by all queries.
-pub trait Policy {
-    /// Picks a replica. Hedges never go to a tried leaf, and only to a free one.
-    fn choose(
-        &mut self,
-        replicas: &[LeafKey],
-        tried: &[LeafKey],
-        purpose: Purpose,
-        now: Instant,
-    ) -> Option<Choice>;
-
-    /// Takes one hedge from the entry's budget.
-    fn take_hedge(&mut self, now: Instant) -> bool;
-
-    /// Takes one retry from the budget of the leaf that failed and, where the failed call may have
-    /// run, from the budget of the entry.
-    fn take_retry(&mut self, failed: LeafKey, may_have_run: bool, now: Instant) -> bool;
-
-    /// Returns how long a call may take, from its write on, before it is hedged.
-    fn hedge_delay(&self) -> Option<Duration>;
-
-    /// Returns when a byte of the call may first have been written.
-    fn written_at(&self, attempt: Attempt) -> Option<Instant>;
-
-    /// Takes back a call of which no byte was written; fails if one may have been.
-    fn withdraw(&mut self, attempt: Attempt) -> bool;
-}
-
-/// A leaf call to make.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SendCall {
-    /// The call's identity.
-    pub call: CallId,
-    /// The leaf to call.
-    pub leaf: LeafKey,
-    /// Why the call is made.
-    pub purpose: Purpose,
-}
-
-/// What the caller of the machine has to do next.
-#[derive(Debug, Default)]
-pub struct Actions {
-    /// Calls to make.
-    pub sends: Vec<SendCall>,
-    /// Calls to cancel, whose answers are no longer wanted.
-    pub cancels: Vec<Attempt>,
-}
-
-/// How a call ended without a usable answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Loss {
-    /// No byte of the call was written.
-    NotSent,
-    /// The call's wait for a slot could not end in time; no byte was written.
-    NoSlot,
-    /// The connection broke after a byte may have been written, before an answer.
-    Broken,
-    /// The leaf's answer could not be read or belongs to another call.
-    Garbled,
-}
-
-/// Whether the request is suspected of crashing leafs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Suspicion {
-    /// No suspicion.
-    Clear,
-    /// Suspected; one call at a time runs on trial.
-    Suspected,
-    /// The trial crashed a leaf too.
-    Condemned,
-}
-
-/// What a query is about. Immutable.
-#[derive(Clone, Debug)]
-pub struct QueryPlan {
-    /// The query's id.
-    pub id: QueryId,
-    /// Its entry.
-    pub entry: Arc<Entry>,
-    /// The pinned version.
-    pub snapshot: Arc<IndexSnapshot>,
-    /// Number of hits wanted.
-    pub hits: usize,
-    /// When the answer is due.
-    pub deadline: Instant,
-    /// The first attempt number to use; higher than those of an earlier start of the same query.
-    pub first_attempt: Attempt,
-    /// Suspicion against the request's fingerprint at the start.
-    pub suspicion: Suspicion,
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CallState {
     Live,
@@ -355,11 +248,12 @@
         self.check_over(now, out);
     }
 
-    /// Sends a slow call a second time. A call that still waits for a slot is moved instead, which
-    /// is no extra load; one that was written late gets its full delay first.
+    /// Sends a slow call once more. A call that still waits for a slot is moved instead, which is no
+    /// extra load; one that was written late gets its full delay first. A hedge that is slow itself is
+    /// hedged again: over hundreds of shards, two stragglers in a row are no rare thing.
     fn hedge(&mut self, shard: ShardNo, now: Instant, policy: &mut dyn Policy, out: &mut Actions) {
         let hedge_at = self.shard(shard).hedge_at.take();
-        let Some(slow) = self.only_live_call(shard) else { return };
+        let Some(slow) = self.newest_live_call(shard) else { return };
         let due_at = match (policy.written_at(slow), policy.hedge_delay()) {
             (Some(written_at), Some(delay)) => Some(written_at + delay),
             _ => hedge_at,
@@ -368,6 +262,7 @@
             self.shard(shard).hedge_at = due_at;
             return;
         }
+        self.shard(shard).hedge_at = self.hedge_time(now, policy);
         let snapshot = self.plan.snapshot.clone();
         let tried = &self.shard(shard).tried;
         let choice = policy.choose(snapshot.replicas(shard), tried, Purpose::Hedge, now);
@@ -375,18 +270,17 @@
         if policy.withdraw(slow) {
             self.close_call(slow);
             self.send(shard, choice.leaf, Purpose::First, out);
-            self.shard(shard).hedge_at = self.hedge_time(now, policy);
         } else if policy.take_hedge(now) {
             self.send(shard, choice.leaf, Purpose::Hedge, out);
         }
     }
 
-    fn only_live_call(&mut self, shard: ShardNo) -> Option<Attempt> {
+    fn newest_live_call(&mut self, shard: ShardNo) -> Option<Attempt> {
         let state = self.shard(shard);
-        if state.merged || state.given_up || state.live != 1 {
+        if state.merged || state.given_up || state.tried.len() >= MAX_CALLS_PER_SHARD {
             return None;
         }
-        self.live_calls(shard).next()
+        self.live_calls(shard).last()
     }
 
     fn live_calls(&self, shard: ShardNo) -> impl Iterator<Item = Attempt> {
--- a/lib/src/relay_link.rs
+++ b/lib/src/relay_link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::call::CallContext;
+use crate::call_context::CallContext;
 use crate::http_client::HttpCall;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpClientError;
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -17,10 +17,10 @@
 use xitca_web::body::Frame;
 
 use crate::call::Call;
-use crate::call::CallContext;
-use crate::call::CallControl;
-use crate::call::CallEvent;
-use crate::call::CallSpec;
+use crate::call_context::CallContext;
+use crate::call_context::CallControl;
+use crate::call_context::CallEvent;
+use crate::call_context::CallSpec;
 use crate::daemon::Daemon;
 use crate::exchange::check_addressee;
 use crate::ids::LeafName;
@@ -34,9 +34,9 @@
 use crate::peer_protocol::RelayQuery;
 use crate::peer_protocol::RelayRequest;
 use crate::peer_protocol::encode;
-use crate::query::Loss;
-use crate::query::Purpose;
-use crate::query::SendCall;
+use crate::plan::Loss;
+use crate::plan::Purpose;
+use crate::plan::SendCall;
 use crate::relay::Route;
 use crate::relay_link::with_length;
 
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -21,15 +21,15 @@
 use jasmineusher_lib::leaf_protocol::Hit;
 use jasmineusher_lib::leaf_protocol::LeafAnswer;
 use jasmineusher_lib::leaf_protocol::LeafStatus;
-use jasmineusher_lib::query::Actions;
-use jasmineusher_lib::query::Choice;
-use jasmineusher_lib::query::Loss;
-use jasmineusher_lib::query::Policy;
-use jasmineusher_lib::query::Purpose;
+use jasmineusher_lib::plan::Actions;
+use jasmineusher_lib::plan::Choice;
+use jasmineusher_lib::plan::Loss;
+use jasmineusher_lib::plan::Policy;
+use jasmineusher_lib::plan::Purpose;
+use jasmineusher_lib::plan::QueryPlan;
+use jasmineusher_lib::plan::SendCall;
+use jasmineusher_lib::plan::Suspicion;
 use jasmineusher_lib::query::Query;
-use jasmineusher_lib::query::QueryPlan;
-use jasmineusher_lib::query::SendCall;
-use jasmineusher_lib::query::Suspicion;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -80,7 +80,7 @@
     }
 }
 
-fn plan(entry: &str, now: Instant, suspicion: Suspicion) -> QueryPlan {
+fn plan(entry: &str, now: Instant, suspicion: Suspicion, replicas: u16) -> QueryPlan {
     let catalogue = Catalogue::try_from(testutils::CATALOGUE).expect("the catalogue is sound");
     let leafs: Vec<_> = (0..LEAFS)
         .map(|n| {
@@ -94,8 +94,9 @@
     let hosts: RawHostList = serde_json::from_value(hosts).expect("the host list is sound");
     let registry = LeafRegistry::default();
     HostList::new(hosts, &registry).expect("the host list is sound");
-    let shards: Vec<_> =
-        (0..SHARDS).map(|n| [format!("leaf-{n}"), format!("leaf-{}", (n + 1) % LEAFS)]).collect();
+    let shards: Vec<Vec<_>> = (0..SHARDS)
+        .map(|n| (0..replicas).map(|r| format!("leaf-{}", (n + r) % LEAFS)).collect())
+        .collect();
     let layout = serde_json::json!({
         "indexes": [{ "name": "careline", "versions": [{ "version": 7, "shards": shards }] }]
     });
@@ -131,8 +132,12 @@
 
 impl Run {
     fn start(entry: &str, suspicion: Suspicion) -> Self {
+        Self::start_over(entry, suspicion, 2)
+    }
+
+    fn start_over(entry: &str, suspicion: Suspicion, replicas: u16) -> Self {
         let now = Instant::now();
-        let query = Query::new(plan(entry, now, suspicion));
+        let query = Query::new(plan(entry, now, suspicion, replicas));
         let policy = EagerPolicy::default();
         let mut run = Self { query, policy, calls: Vec::new(), cancelled: Vec::new(), now };
         run.step(|query, now, policy, out| query.start(now, policy, out));
@@ -194,6 +199,21 @@
     assert_eq!(run.finish().outcome, OutcomeKind::Complete);
 }
 
+#[test]
+fn hedge_that_is_slow_itself_is_hedged_again_on_another_leaf() {
+    let mut run = Run::start_over("lookup", Suspicion::Clear, 3);
+    (0..4).for_each(|call| run.answer(call, LeafStatus::Ok));
+    run.pass(Duration::from_millis(10));
+    run.pass(Duration::from_millis(10));
+    let leafs: HashSet<_> = run.calls[4..].iter().map(|call| call.leaf).collect();
+    assert_eq!((run.calls.len(), leafs.len()), (7, 3));
+    run.pass(Duration::from_millis(10));
+    assert_eq!(run.calls.len(), 7, "no leaf is left");
+    run.answer(6, LeafStatus::Ok);
+    assert_eq!(run.cancelled.len(), 2);
+    assert_eq!(run.finish().outcome, OutcomeKind::Complete);
+}
+
 #[test]
 fn waiting_call_is_moved_without_extra_load() {
     let mut run = Run::start("lookup", Suspicion::Clear);
@@ -233,7 +253,7 @@
 #[test]
 fn query_that_cannot_meet_its_deadline_is_refused_before_any_call() {
     let now = Instant::now();
-    let mut query = Query::new(plan("lookup", now, Suspicion::Clear));
+    let mut query = Query::new(plan("lookup", now, Suspicion::Clear, 2));
     let waits = (0..u32::from(LEAFS)).map(|n| (LeafKey(n), Duration::from_secs(7))).collect();
     let mut policy = EagerPolicy { waits, ..EagerPolicy::default() };
     let mut out = Actions::default();
@@ -421,7 +441,7 @@
 #[test]
 fn plan_is_shared_not_copied() {
     let now = Instant::now();
-    let plan = plan("lookup", now, Suspicion::Clear);
+    let plan = plan("lookup", now, Suspicion::Clear, 2);
     let snapshot = Arc::downgrade(&plan.snapshot);
     drop(Query::new(plan));
     assert!(snapshot.upgrade().is_none(), "a finished query keeps no version alive");
