--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -26,7 +26,6 @@
 use crate::ids::LeafName;
 use crate::leaf::Leaf;
 use crate::leaf_protocol::CallId;
-use crate::lifecycle::Phase;
 use crate::peer_protocol::ProtocolError;
 use crate::peer_protocol::RelayCancel;
 use crate::peer_protocol::RelayEnd;
@@ -151,9 +150,8 @@
         events: mpsc::UnboundedSender<CallEvent>,
         now: Instant,
     ) -> Option<Arc<CallContext>> {
-        if self.lifecycle.phase() == Phase::Starting {
-            return None;
-        }
+        // A process that is leaving, or has just woken from a pause, takes no calls of others either.
+        self.lifecycle.begin(now).ok()?;
         Some(Arc::new(CallContext {
             tier: self.tier.clone(),
             spec: CallSpec {
