limits: a refusal names at least a millisecond

Cause: a test of 120 queries at once was refused now and then, since a share starts with room for one query, and the refusal named a wait of 0 ms: the true wait of 0.7 ms was cut off. Now it is at least 1 ms, and the test waits until shares have filled.

--- a/cli/tests/test_relays.rs
+++ b/cli/tests/test_relays.rs
@@ -1,5 +1,7 @@
 //! More daemons than a leaf accepts connections: calls go through relays.
 
+use std::time::Duration;
+
 use jasmineusher_bench::fleet::FleetShape;
 use jasmineusher_bench::fleet::zones;
 use jasmineusher_lib::answer::OutcomeKind;
@@ -29,6 +31,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_answers_whole_and_no_leaf_refuses_a_connection() {
     let bed = TestBed::start(DAEMON, scarce(), 6).await;
+    // A share starts with room for one query, so that a restart gives no burst; it fills at 1,500 a
+    // second here.
+    tokio::time::sleep(Duration::from_millis(100)).await;
     let refused_before = bed.fleet.record.sums().refused_connections;
     let queries = (0..120).map(|n| bed.query(n % 6, lookup()));
     for (_, answer) in futures_util::future::join_all(queries).await {
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -78,7 +78,8 @@
 
     fn time_until(&self, level: f64) -> Duration {
         let missing = (level - self.level).max(0.0);
-        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX).min(MAX_WAIT)
+        let wait = Duration::try_from_secs_f64(missing / self.rate).unwrap_or(MAX_WAIT);
+        wait.clamp(MIN_WAIT, MAX_WAIT)
     }
 }
 
@@ -88,6 +89,8 @@
 const NO_DEMAND: f64 = 1e-6;
 /// Factor on the demand up to which a host borrows.
 const DEMAND_HEADROOM: f64 = 1.1;
+/// The shortest wait that a refusal names: callers are told whole milliseconds.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 /// The longest wait that a refusal names.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// The wait that a refusal for concurrency names.
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -185,6 +185,17 @@
     assert_eq!(run.finish().outcome, OutcomeKind::Complete);
 }
 
+#[test]
+fn answer_that_comes_twice_is_merged_once_and_counted_as_a_stray() {
+    let mut run = Run::start("lookup", Suspicion::Clear);
+    run.answer(0, LeafStatus::Ok);
+    run.answer(0, LeafStatus::Ok);
+    assert_eq!(run.query.strays(), 1);
+    (1..5).for_each(|call| run.answer(call, LeafStatus::Ok));
+    let answer = run.finish();
+    assert_eq!((answer.outcome, answer.hits.len()), (OutcomeKind::Complete, 5));
+}
+
 #[test]
 fn slow_call_is_hedged_once_and_the_loser_cancelled() {
     let mut run = Run::start("lookup", Suspicion::Clear);
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -141,6 +141,16 @@
     assert!(entry.begin(now + refusal.retry_after).is_ok(), "after the wait there is room");
 }
 
+#[test]
+fn refusal_never_names_a_wait_of_no_time() {
+    let now = Instant::now();
+    let share = jasmineusher_lib::limits::HostShare::of(&limits(), 100.0);
+    let mut entry = EntryLimits::new(limits(), share, now);
+    assert!(entry.begin(now).is_ok());
+    let refusal = entry.begin(now).expect_err("a share starts with room for one query");
+    assert_eq!(refusal.retry_after, Duration::from_millis(1), "callers are told milliseconds");
+}
+
 /// A loan on its way.
 #[derive(Clone, Debug)]
 struct Message {
