lib: remove dead code, and one copy of two checks written twice

The truth of an answer was checked by testutils and by the load generator in two copies: the tests call the generator's now, which is as strict (an answer with hits and no version fails in both). Shard numbers were counted in front and query: the layout gives them. A digest function, a conversion and event 401, which nothing emitted, are gone, with their lines in the docs.

--- a/bench/src/http_service.rs
+++ b/bench/src/http_service.rs
@@ -1,6 +1,5 @@
 //! Small HTTP/1.1 server for stand-ins, with control over each connection.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 
@@ -101,9 +100,3 @@
 }
 
 impl std::error::Error for BrokenConnection {}
-
-impl From<Infallible> for BrokenConnection {
-    fn from(never: Infallible) -> Self {
-        match never {}
-    }
-}
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -110,7 +110,7 @@
     let coverage = &answer.coverage;
     let whole = coverage.contributed.len() + coverage.missing.len() == coverage.shards;
     let sound = |id: &str| {
-        let version = answer.version.map(|v| v.to_string()).unwrap_or_default();
+        let Some(version) = answer.version else { return false };
         coverage.contributed.iter().any(|shard| id.starts_with(&format!("v{version}-s{shard}-")))
     };
     whole && answer.hits.iter().all(|hit| sound(&hit.id))
--- a/lib/src/distribution.rs
+++ b/lib/src/distribution.rs
@@ -14,7 +14,6 @@
 use crate::ids::Revision;
 use crate::patch::Patch;
 use crate::patch::PatchChain;
-use crate::patch::digest;
 use crate::peer_protocol::KindRevision;
 use crate::peer_protocol::Transfer;
 use crate::publication::Document;
@@ -167,8 +166,3 @@
     let revision = |kind| KindRevision { kind, revision: view.revision(kind) };
     DocumentKind::ALL.into_iter().map(revision).collect()
 }
-
-/// Returns the digest of a document, for comparing hosts.
-pub fn document_digest(view: &View, kind: DocumentKind) -> Option<u64> {
-    view.document(kind).map(|document| digest(&document.body))
-}
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -54,8 +54,6 @@
     RequestCondemned = 302,
     /// A peer was heard for the first time in this run of it.
     PeerJoined = 400,
-    /// A peer has not been heard for some time.
-    PeerSilent = 401,
     /// A peer says that it is leaving.
     PeerLeaving = 402,
     /// A peer message failed its authentication.
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -27,6 +27,7 @@
 use crate::ids::Attempt;
 use crate::ids::IndexVersion;
 use crate::ids::LeafKey;
+use crate::ids::QueryId;
 use crate::layout::IndexSnapshot;
 use crate::leaf::Choosing;
 use crate::leaf::LeafTable;
@@ -261,7 +262,7 @@
         candidates.find(|v| is_whole(v, &view.leafs, now)).or(first).cloned()
     }
 
-    fn no_index(&self, id: crate::ids::QueryId) -> QueryAnswer {
+    fn no_index(&self, id: QueryId) -> QueryAnswer {
         let message = format!(
             "Entry \"{}\": index \"{}\" has no version that can be queried",
             self.entry.name, self.entry.index
@@ -273,9 +274,8 @@
 }
 
 fn is_whole(snapshot: &IndexSnapshot, leafs: &LeafTable, now: Instant) -> bool {
-    let shards = (0..snapshot.shard_count() as u16).map(crate::ids::ShardNo);
-    shards
-        .into_iter()
+    snapshot
+        .shards()
         .all(|shard| snapshot.replicas(shard).iter().any(|&key| leafs.is_usable(key, now)))
 }
 
--- a/lib/src/layout.rs
+++ b/lib/src/layout.rs
@@ -109,6 +109,11 @@
         self.first_replica.len() - 1
     }
 
+    /// Returns the numbers of all shards, ascending.
+    pub fn shards(&self) -> impl Iterator<Item = ShardNo> + use<> {
+        (0..self.shard_count() as u16).map(ShardNo)
+    }
+
     /// Returns the leafs that hold a shard.
     pub fn replicas(&self, shard: ShardNo) -> &[LeafKey] {
         let shard = usize::from(shard.0);
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -410,7 +410,7 @@
     }
 
     fn shard_numbers(&self) -> impl Iterator<Item = ShardNo> + use<> {
-        (0..self.shards.len() as u16).map(ShardNo)
+        self.plan.snapshot.shards()
     }
 
     fn shard(&mut self, shard: ShardNo) -> &mut ShardState {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 
 use jasmineusher_bench::bed::Bed;
 use jasmineusher_bench::fleet::FleetShape;
+use jasmineusher_bench::load::is_truthful;
 use jasmineusher_lib::answer::QueryAnswer;
 
 /// Longest wait for anything that must happen in the end. Not a bound on speed.
@@ -110,14 +111,5 @@
 /// Checks that an answer is truthful: each hit is of the pinned version and of a covered shard, and
 /// coverage splits the shards in two.
 pub fn assert_truthful(answer: &QueryAnswer) {
-    let coverage = &answer.coverage;
-    assert_eq!(coverage.contributed.len() + coverage.missing.len(), coverage.shards);
-    for hit in &answer.hits {
-        let version = answer.version.expect("an answer with hits names its version");
-        let from_covered = coverage
-            .contributed
-            .iter()
-            .any(|shard| hit.id.starts_with(&format!("v{version}-s{shard}-")));
-        assert!(from_covered, "hit {} is not of version {version} and a covered shard", hit.id);
-    }
+    assert!(is_truthful(answer), "hits or coverage are not of the pinned version: {answer:?}");
 }
