--- a/bench/src/exp_control.rs
+++ b/bench/src/exp_control.rs
@@ -5,6 +5,7 @@
 
 use jasmineusher_lib::hosts::DaemonHost;
 use jasmineusher_lib::hosts::HostState;
+use jasmineusher_lib::hosts::LeafDetail;
 use jasmineusher_lib::hosts::LeafHost;
 use jasmineusher_lib::hosts::RawHostList;
 use jasmineusher_lib::http_client::HttpCall;
@@ -130,6 +131,7 @@
             slots: 2,
             connections: 25,
             state: HostState::Live,
+            detail: LeafDetail::default(),
         });
         RawHostList { daemons, leafs: leafs.collect() }
     }
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use jasmineusher_lib::hosts::DaemonHost;
 use jasmineusher_lib::hosts::HostState;
+use jasmineusher_lib::hosts::LeafDetail;
 use jasmineusher_lib::hosts::LeafHost;
 use jasmineusher_lib::hosts::RawHostList;
 use jasmineusher_lib::ids::IndexName;
@@ -198,5 +199,6 @@
         slots: shape.slots,
         connections: shape.connections,
         state: HostState::Live,
+        detail: LeafDetail::default(),
     }
 }
--- a/bench/src/naive.rs
+++ b/bench/src/naive.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
+use hyper::Request;
 use jasmineusher_lib::backend::LeafBackend;
 use jasmineusher_lib::backend::LeafConnection;
 use jasmineusher_lib::http_leaf::HttpLeafBackend;
@@ -18,6 +20,7 @@
 use jasmineusher_lib::leaf_protocol::LeafRequest;
 use jasmineusher_lib::leaf_protocol::LeafStatus;
 use jasmineusher_lib::leaf_protocol::SEARCH_PATH;
+use jasmineusher_lib::search_codec::json_request;
 use serde_json::value::RawValue;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -73,11 +76,11 @@
                 Some(conn) => conn,
                 None => {
                     let remaining = deadline.saturating_duration_since(Instant::now());
-                    self.backend.connect(self.targets[shard], remaining).await.ok()?
+                    self.backend.connect(self.targets[shard], remaining).await.ok()?.conn
                 }
             };
-            let body = conn.exchange(SEARCH_PATH, self.body(query, shard, deadline)).await.ok()?;
-            let answer = LeafAnswer::parse(&body).ok()?;
+            let response = conn.exchange(self.request(query, shard, deadline)).await.ok()?;
+            let answer = LeafAnswer::parse(response.body()).ok()?;
             self.idle[shard].lock().unwrap().push(conn);
             Some(answer.status == LeafStatus::Ok)
         };
@@ -85,7 +88,7 @@
         answered.ok().flatten().unwrap_or(false)
     }
 
-    fn body(&self, query: QueryId, shard: usize, deadline: Instant) -> bytes::Bytes {
+    fn request(&self, query: QueryId, shard: usize, deadline: Instant) -> Request<Bytes> {
         let request = LeafRequest {
             call: CallId {
                 query,
@@ -99,6 +102,6 @@
             remaining_ms: deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
             params: &self.params,
         };
-        serde_json::to_vec(&request).expect("message types serialise").into()
+        json_request(SEARCH_PATH, &request)
     }
 }
--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -1,5 +1,6 @@
 //! `jasmineusherd`: the daemon.
 
+mod edge_main;
 mod logging;
 
 use std::process::ExitCode;
@@ -27,6 +28,8 @@
 struct Flags {
     #[options(no_short, help = "print this help")]
     help: bool,
+    #[options(no_short, help = "serve opaque requests on the users' platform; its settings file and the log flags count")]
+    edge: bool,
     #[options(no_short, help = "address to listen on, such as 127.0.0.1:8100", meta = "ADDR")]
     listen: Option<String>,
     #[options(no_short, help = "address at which peers reach this daemon", meta = "ADDR")]
@@ -82,6 +85,9 @@
 
 fn main() -> ExitCode {
     let flags = Flags::parse_args_default_or_exit();
+    if flags.edge {
+        return edge_main::run(flags.log_level.as_deref());
+    }
     let raw = RawSettings::from(flags).or_environment(|name| std::env::var(name).ok());
     let settings = match Settings::try_from(raw) {
         Ok(settings) => settings,
--- /dev/null
+++ b/cli/src/edge_main.rs
@@ -0,0 +1,99 @@
+//! `jasmineusherd --edge`: serves opaque requests on the users' platform.
+
+use std::process::ExitCode;
+
+use jasmineusher_lib::daemon::with_sources;
+use jasmineusher_lib::edge_daemon::EdgeDaemon;
+use jasmineusher_lib::edge_daemon::PlatformParts;
+use jasmineusher_lib::events::Event;
+use jasmineusher_lib::http_client::HttpClient;
+use jasmineusher_lib::log_event;
+use jasmineusher_platform::caller::Clients;
+use jasmineusher_platform::configuration::Formats;
+use jasmineusher_platform::leaf::Leafs;
+use jasmineusher_platform::names::READY_PATH;
+use jasmineusher_platform::settings;
+use jasmineusher_platform::settings::PlatformSettings;
+use jasmineusher_platform::store::Store;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::EXIT_SETTINGS;
+use crate::logging;
+
+/// Runs the process to its end.
+pub fn run(log_level: Option<&str>) -> ExitCode {
+    let Ok(log_level) = log_level.unwrap_or("info").parse() else {
+        eprintln!("jasmineusherd: Setting \"log-level\": allowed is error, warn, info, debug or trace");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    if let Err(e) = logging::init_bounded(log_level) {
+        eprintln!("jasmineusherd: Starting the log failed: {e}");
+        return ExitCode::FAILURE;
+    }
+    let settings = match settings::read() {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("jasmineusherd: {}", with_sources(&e));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(serve(settings)),
+        Err(e) => Err(e.into()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("jasmineusherd: {}", with_sources(&*e));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: PlatformSettings) -> Result<(), Box<dyn std::error::Error>> {
+    log_replaced(&settings);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let client = HttpClient::from_local(Some(settings.edge.control.ip()));
+    let parts = PlatformParts {
+        publications: Box::new(Store::new(settings.store, client)),
+        decoder: Box::new(Formats),
+        callers: Box::new(Clients),
+        leafs: Box::new(Leafs),
+        ready_path: READY_PATH,
+    };
+    let daemon = EdgeDaemon::start(settings.edge, parts).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => reload(&daemon),
+        }
+    }
+    daemon.leave().await;
+    Ok(())
+}
+
+/// Reads the settings again. Settings that cannot be used leave the last ones in force.
+fn reload(daemon: &EdgeDaemon) {
+    match settings::read() {
+        Ok(settings) => {
+            log_replaced(&settings);
+            daemon.reload(&settings.edge);
+        }
+        Err(e) => log_event!(warn, Event::SettingsUnusable, cause = with_sources(&e)),
+    }
+}
+
+fn log_replaced(settings: &PlatformSettings) {
+    for replaced in &settings.replaced {
+        log_event!(
+            warn,
+            Event::SettingsUnusable,
+            field = replaced.field,
+            value = replaced.value.as_str(),
+            allowed = replaced.allowed
+        );
+    }
+}
--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -1,6 +1,7 @@
-//! Sets up the log on standard error.
+//! Sets up the log.
 
 use jasmineusher_lib::settings::LogFormat;
+use jasmineusher_lib::telemetry::BoundedOutput;
 use tracing_subscriber::filter::LevelFilter;
 
 /// Starts logging.
@@ -14,3 +15,18 @@
         LogFormat::Json => subscriber.json().flatten_event(true).init(),
     }
 }
+
+/// Starts logging of JSON lines to standard output, which never blocks.
+pub fn init_bounded(level: tracing::Level) -> std::io::Result<()> {
+    let output = BoundedOutput::start(std::io::stdout())?;
+    tracing_subscriber::fmt()
+        .with_max_level(LevelFilter::from_level(level))
+        .with_writer(output)
+        .with_target(false)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .init();
+    Ok(())
+}
--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -97,6 +97,8 @@
     Overloaded,
     /// The deadline has passed.
     DeadlineExceeded,
+    /// What came by the goal is useful, and the rest would come too late.
+    GoalReached,
     /// Too few shards have a replica that can serve them.
     ReplicasLost,
     /// The request is suspected of crashing leafs.
--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -4,8 +4,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
 use thiserror::Error;
 
 /// A future on the heap.
@@ -63,24 +66,39 @@
     }
 }
 
+impl BackendError {
+    /// Whether the peer refused the connection: nothing listens at its address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Result of an exchange.
 pub type Result<T> = std::result::Result<T, BackendError>;
 
 /// One connection to a leaf, which carries one exchange at a time.
 pub trait LeafConnection: Send {
-    /// Sends a request and returns the body of the answer.
-    fn exchange<'a>(&'a mut self, path: &'static str, body: Bytes) -> BoxFuture<'a, Result<Bytes>>;
+    /// Sends a request and returns the whole answer.
+    fn exchange<'a>(
+        &'a mut self,
+        req: Request<Bytes>,
+    ) -> BoxFuture<'a, Result<Response<Bytes>>>;
 
     /// Whether another exchange may be tried on this connection.
-    fn is_usable(&self) -> bool;
+    fn is_usable(&self, now: Instant) -> bool;
+}
+
+/// A connection that was opened.
+pub struct Opened {
+    /// The connection.
+    pub conn: Box<dyn LeafConnection>,
+    /// Time that opening it took: about one round trip.
+    pub took: Duration,
 }
 
 /// Opens connections to leafs.
 pub trait LeafBackend: Send + Sync {
     /// Opens a connection within `limit`.
-    fn connect(
-        &self,
-        peer: SocketAddr,
-        limit: Duration,
-    ) -> BoxFuture<'_, Result<Box<dyn LeafConnection>>>;
+    fn connect(&self, peer: SocketAddr, limit: Duration) -> BoxFuture<'_, Result<Opened>>;
 }
--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -8,22 +8,31 @@
 
 use serde::Serialize;
 
-/// Weight of a new sample in the running mean of latency.
-const LATENCY_WEIGHT: f64 = 0.1;
+use crate::leaf_protocol::CallId;
+
+/// Weight of a new sample in the running means of latency and of failures.
+const SAMPLE_WEIGHT: f64 = 0.25;
+/// Time in which an observation loses most of its weight against what is typical, so that a leaf
+/// that was slow or failed is tried again now and then.
+const MEMORY: Duration = Duration::from_secs(4);
+/// Cost of a call that fails: the retry's time and its part of the budget.
+const FAILURE_COST: Duration = Duration::from_millis(100);
 /// Failures in a row that eject a leaf.
 const EJECT_AFTER_FAILURES: u32 = 3;
 /// First time that an ejected leaf stays out.
 const EJECT_BASE: Duration = Duration::from_millis(500);
 /// Longest time that an ejected leaf stays out before it is probed.
-const EJECT_MAX: Duration = Duration::from_secs(20);
+const EJECT_MAX: Duration = Duration::from_secs(4);
+/// Time that a leaf stays out after it refused a connection.
+const REFUSED_TIME: Duration = Duration::from_millis(300);
 /// Time after which a leaf's own sign of leaving is forgotten, if the host list says otherwise.
 const DRAIN_MEMORY: Duration = Duration::from_secs(30);
-/// Answers after which a leaf counts as warm.
-const WARM_ANSWERS: u32 = 20;
-/// Expected latency of a leaf that was never called.
-const UNKNOWN_LATENCY: Duration = Duration::from_millis(5);
-/// Factor on the expected latency of a leaf that is not warm yet.
-const COLD_FACTOR: f64 = 3.0;
+/// Time for which a leaf that answered for another one is left out, unless it is listed anew.
+const MISDIRECTED_TIME: Duration = Duration::from_secs(10);
+/// Work of a cold leaf beyond that of a warm one, as a share of what is typical.
+const COLD_EXTRA: f64 = 0.6;
+/// Multiple of the expected time after which an unanswered call shows that the leaf is stuck.
+const STUCK_FACTOR: f64 = 2.0;
 
 /// Whether a leaf may get a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
@@ -37,14 +46,23 @@
     Draining,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    call: CallId,
+    since: Instant,
+}
+
 /// Observations of one leaf.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Belief {
     latency_us: f64,
-    answers: u32,
+    failure_rate: f64,
+    sampled_at: Option<Instant>,
+    outstanding: Vec<Outstanding>,
     failures_in_row: u32,
     ejections_in_row: u32,
     ejected_until: Option<Instant>,
+    cold_until: Option<Instant>,
     listed_leaving: bool,
     said_draining_at: Option<Instant>,
     answered_at: Option<Instant>,
@@ -53,31 +71,20 @@
     hinted_queue: u32,
 }
 
-impl Default for Belief {
-    fn default() -> Self {
-        Self {
-            latency_us: UNKNOWN_LATENCY.as_micros() as f64,
-            answers: 0,
-            failures_in_row: 0,
-            ejections_in_row: 0,
-            ejected_until: None,
-            listed_leaving: false,
-            said_draining_at: None,
-            answered_at: None,
-            sheds: 0,
-            losses: 0,
-            hinted_queue: 0,
-        }
+impl Belief {
+    /// Records that a call is about to be written.
+    pub fn begun(&mut self, call: CallId, now: Instant) {
+        self.outstanding.push(Outstanding { call, since: now });
+    }
+
+    /// Records that a call is over, however it ended.
+    pub fn ended(&mut self, call: CallId) {
+        self.outstanding.retain(|open| open.call != call);
     }
-}
 
-impl Belief {
     /// Records an answer that took `latency`.
     pub fn answered(&mut self, latency: Duration, hinted_queue: u32, now: Instant) {
-        let sample = latency.as_micros() as f64;
-        let weight = if self.answers == 0 { 1.0 } else { LATENCY_WEIGHT };
-        self.latency_us += (sample - self.latency_us) * weight;
-        self.answers = self.answers.saturating_add(1);
+        self.sample(latency, 0.0, now);
         self.failures_in_row = 0;
         self.ejections_in_row = 0;
         self.ejected_until = None;
@@ -88,17 +95,48 @@
 
     /// Records that a call was cancelled after `elapsed` without an answer, which is a lower bound
     /// of its latency.
-    pub fn unanswered(&mut self, elapsed: Duration) {
-        let sample = elapsed.as_micros() as f64;
-        if sample > self.latency_us {
-            self.latency_us += (sample - self.latency_us) * LATENCY_WEIGHT;
+    pub fn unanswered(&mut self, elapsed: Duration, now: Instant) {
+        if elapsed.as_micros() as f64 > self.latency_us {
+            self.sample(elapsed, 0.0, now);
         }
     }
 
     /// Records that the leaf shed a call.
-    pub fn shed(&mut self) {
+    pub fn shed(&mut self, now: Instant) {
         self.sheds += 1;
         self.failures_in_row = 0;
+        self.sample_failure(1.0, now);
+    }
+
+    /// Records that the leaf failed a call.
+    pub fn failed(&mut self, now: Instant) {
+        self.sample_failure(1.0, now);
+    }
+
+    /// Records that another leaf answers at this leaf's address.
+    pub fn misdirected(&mut self, now: Instant) {
+        self.ejected_until = Some(now + MISDIRECTED_TIME);
+        self.failures_in_row = EJECT_AFTER_FAILURES;
+    }
+
+    /// Records that the leaf refused a connection. Returns whether this ejected the leaf.
+    pub fn refused(&mut self, now: Instant) -> bool {
+        let ejected = self.lost(now);
+        let until = now + REFUSED_TIME;
+        self.ejected_until = Some(self.ejected_until.map_or(until, |at| at.max(until)));
+        ejected
+    }
+
+    fn sample(&mut self, latency: Duration, failure: f64, now: Instant) {
+        let sample = latency.as_micros() as f64;
+        let weight = if self.sampled_at.is_none() { 1.0 } else { SAMPLE_WEIGHT };
+        self.latency_us += (sample - self.latency_us) * weight;
+        self.sample_failure(failure, now);
+    }
+
+    fn sample_failure(&mut self, failure: f64, now: Instant) {
+        self.failure_rate += (failure - self.failure_rate) * SAMPLE_WEIGHT;
+        self.sampled_at = Some(now);
     }
 
     /// Records that the leaf said that it is leaving.
@@ -126,17 +164,22 @@
         self.listed_leaving = leaving;
     }
 
+    /// Records until when the leaf says that it is cold.
+    pub fn cold(&mut self, until: Option<Instant>) {
+        self.cold_until = until;
+    }
+
     /// Records a lost call or a failed connection. Returns whether this ejected the leaf.
     pub fn lost(&mut self, now: Instant) -> bool {
         self.losses += 1;
         self.failures_in_row += 1;
+        self.sample_failure(1.0, now);
         if self.failures_in_row < EJECT_AFTER_FAILURES {
             return false;
         }
         let time_out = EJECT_BASE.saturating_mul(1 << self.ejections_in_row.min(10));
         self.ejected_until = Some(now + time_out.min(EJECT_MAX));
         self.ejections_in_row += 1;
-        self.answers = 0;
         true
     }
 
@@ -152,18 +195,35 @@
         }
     }
 
-    /// Returns the expected time per call without queueing; higher for a cold leaf.
+    /// Returns the mean time per call; zero before the first answer.
     pub fn service(&self) -> Duration {
         Duration::from_micros(self.latency_us as u64)
     }
 
-    /// Returns the cost by which replicas are compared.
-    pub fn cost(&self) -> Duration {
-        if self.answers < WARM_ANSWERS {
-            self.service().mul_f64(COLD_FACTOR)
-        } else {
-            self.service()
+    /// Returns the time by which replicas are compared. `typical` is the time that a call to a sound
+    /// leaf in this one's zone takes; observations fade towards it.
+    pub fn cost(&self, typical: Duration, now: Instant) -> Duration {
+        let weight = self.sampled_at.map_or(0.0, |at| {
+            let age = now.saturating_duration_since(at);
+            (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        });
+        let typical_us = typical.as_micros() as f64;
+        let observed = if self.latency_us == 0.0 { typical_us } else { self.latency_us };
+        let mut cost_us = typical_us + (observed - typical_us) * weight;
+        cost_us += self.failure_rate * weight * FAILURE_COST.as_micros() as f64;
+        if self.cold_until.is_some_and(|until| now < until) {
+            cost_us += typical_us * COLD_EXTRA;
         }
+        let cost = Duration::from_micros(cost_us as u64);
+        self.stuck_for(cost, now).map_or(cost, |stuck| cost.max(stuck))
+    }
+
+    /// Returns how long the oldest call is out, if that is far longer than expected. What is left of
+    /// a pause of unknown length is about as long as what has passed.
+    fn stuck_for(&self, expected: Duration, now: Instant) -> Option<Duration> {
+        let oldest = self.outstanding.iter().map(|open| open.since).min()?;
+        let age = now.saturating_duration_since(oldest);
+        (age > expected.mul_f64(STUCK_FACTOR)).then(|| expected + age)
     }
 
     /// Whether the next call to this leaf is the probe after an ejection.
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -6,11 +6,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use serde::Serialize;
+use hyper::Response;
 use tokio::sync::oneshot;
 
 use crate::backend::BackendError;
 use crate::backend::LeafConnection;
+use crate::backend::Opened;
+use crate::call_context::ANY_IDLE_TIME;
 use crate::call_context::CallContext;
 use crate::call_context::CallControl;
 use crate::call_context::CallEvent;
@@ -19,12 +21,9 @@
 use crate::gate::Admission;
 use crate::gate::CallEnd;
 use crate::leaf::Leaf;
-use crate::leaf_protocol::CANCEL_PATH;
-use crate::leaf_protocol::CallId;
-use crate::leaf_protocol::LeafAnswer;
-use crate::leaf_protocol::LeafRequest;
+use crate::leaf_codec::OutgoingCall;
+use crate::leaf_protocol::LeafReply;
 use crate::leaf_protocol::LeafStatus;
-use crate::leaf_protocol::SEARCH_PATH;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
 use crate::peer_protocol::RelayEnd;
@@ -34,15 +33,16 @@
 use crate::relay::RelayHost;
 use crate::relay::Route;
 use crate::relay_link::RelayOutcome;
+use crate::relay_link::RelayedCall;
 use crate::tier::CONNECT_LIMIT;
 
 /// How long a cancelled call may still answer before its connection is closed.
 const CANCEL_GRACE: Duration = Duration::from_millis(300);
 
 /// One call in progress.
-pub struct Call {
+pub struct Call<P> {
     /// What it has in common with the query's other calls.
-    pub cx: Arc<CallContext>,
+    pub cx: Arc<CallContext<P>>,
     /// The leaf.
     pub leaf: Arc<Leaf>,
     /// What to send.
@@ -52,14 +52,14 @@
 }
 
 /// How a call that had a slot ended.
-enum Ended {
+enum Ended<P> {
     /// Withdrawn by its owner; nobody waits for it.
     Withdrawn,
     Lost(Loss, Effort),
-    Answered(LeafAnswer),
+    Answered(LeafReply<P>),
 }
 
-impl Call {
+impl<P: Send + 'static> Call<P> {
     /// Runs the call to its end.
     pub async fn run(self) {
         let ended = match self.wait_for_slot().await {
@@ -69,7 +69,7 @@
         self.tell(ended);
     }
 
-    fn tell(&self, ended: Ended) {
+    fn tell(&self, ended: Ended<P>) {
         let call = self.send.call;
         let (effort, event) = match ended {
             Ended::Withdrawn => {
@@ -78,7 +78,7 @@
             }
             Ended::Lost(loss, effort) => (effort, CallEvent::Lost(call, loss)),
             Ended::Answered(answer) => {
-                let effort = Effort::Reported(answer.effort_us);
+                let effort = answer.effort_us.map_or(Effort::None, Effort::Reported);
                 (effort, CallEvent::Answered(call, answer))
             }
         };
@@ -90,13 +90,13 @@
         let _ = self.cx.events.send(event);
     }
 
-    async fn wait_for_slot(&self) -> Result<(), Ended> {
+    async fn wait_for_slot(&self) -> Result<(), Ended<P>> {
         let now = Instant::now();
         let (token, mut granted) = oneshot::channel();
         let admission = {
             let mut state = self.leaf.state();
             let service = state.belief.service();
-            state.gate.enter(self.cx.spec.class, self.cx.deadline, service, now, token)
+            state.gate.enter(self.cx.class, self.cx.deadline, service, now, token)
         };
         match admission {
             Admission::Admitted => return Ok(()),
@@ -117,7 +117,7 @@
         }
     }
 
-    async fn run_in_slot(&self) -> Ended {
+    async fn run_in_slot(&self) -> Ended<P> {
         let (ended, call_end) = match self.leaf.route() {
             Route::Via(relays) => self.run_through(&relays).await,
             Route::Direct(_) => match self.take_connection().await {
@@ -129,9 +129,9 @@
         ended
     }
 
-    async fn take_connection(&self) -> Result<Box<dyn LeafConnection>, Ended> {
+    async fn take_connection(&self) -> Result<Box<dyn LeafConnection>, Ended<P>> {
         let not_sent = || Ended::Lost(Loss::NotSent, Effort::None);
-        match self.leaf.pool.acquire() {
+        match self.leaf.pool.acquire(self.cx.max_idle, Instant::now()) {
             Acquired::Idle(conn) => Ok(conn),
             Acquired::Full => Err(not_sent()),
             Acquired::MayOpen => self.open_connection().await.map_err(|e| {
@@ -150,46 +150,70 @@
         let mut opened = OpenGuard { leaf: &self.leaf, kept: false };
         let result = opening.await;
         opened.kept = result.is_ok();
-        if result.is_err() {
-            tier.counters.connect_failures.increment();
+        match result {
+            Ok(Opened { conn, took }) => {
+                tier.distances.lock().unwrap().observed(&self.leaf.host.zone, took);
+                Ok(conn)
+            }
+            Err(e) => {
+                tier.counters.connect_failures.increment();
+                if e.is_refused() {
+                    tier.note_refused(self.leaf.key, Instant::now());
+                }
+                Err(e)
+            }
         }
-        result
     }
 
     /// Checks the clock next to the write, since the process may have been paused until now.
-    async fn run_on(&self, conn: Box<dyn LeafConnection>) -> (Ended, CallEnd) {
+    async fn run_on(&self, conn: Box<dyn LeafConnection>) -> (Ended<P>, CallEnd) {
         let now = Instant::now();
         if now >= self.cx.deadline {
-            self.leaf.pool.put_back(conn);
+            self.leaf.pool.put_back(conn, now);
             return (Ended::Lost(Loss::NoSlot, Effort::None), CallEnd::Other);
         }
         if !self.control.begin_write(now) {
-            self.leaf.pool.put_back(conn);
+            self.leaf.pool.put_back(conn, now);
             return (Ended::Withdrawn, CallEnd::Other);
         }
         self.exchange(conn, now).await
     }
 
-    async fn exchange(&self, conn: Box<dyn LeafConnection>, started: Instant) -> (Ended, CallEnd) {
+    async fn exchange(&self, conn: Box<dyn LeafConnection>, started: Instant) -> (Ended<P>, CallEnd) {
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
-        let result = self.exchange_or_cancel(held.conn(), started).await;
+        self.leaf.state().belief.begun(self.send.call, started);
+        let outgoing = self.outgoing(started);
+        let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
         let now = Instant::now();
+        self.leaf.state().belief.ended(self.send.call);
         let elapsed = now.saturating_duration_since(started);
         match result {
-            Some(Ok(body)) => match LeafAnswer::parse(&body) {
-                Ok(answer) if answer.call == self.send.call => {
+            Some(Ok(response)) => match self.cx.codec.reply(&outgoing, response) {
+                Ok(mut reply) => {
                     held.put_back();
-                    let call_end = self.note_answer(&answer, elapsed, now);
-                    (Ended::Answered(answer), call_end)
+                    let call_end = self.note_answer(&reply, elapsed, now);
+                    let estimate = || (!reply.status.proves_not_run()).then_some(elapsed);
+                    let estimate = estimate().map(|time| time.as_micros() as u64);
+                    reply.effort_us = reply.effort_us.or(estimate);
+                    (Ended::Answered(reply), call_end)
                 }
-                _ => {
+                Err(stray) => {
                     self.cx.tier.counters.strays.increment();
+                    Event::ReplyStray.info(&format!("leaf {}: {stray}", self.leaf.host.name));
+                    self.leaf.state().belief.failed(now);
                     let effort = Effort::Estimated(elapsed.as_micros() as u64);
                     (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
                 }
             },
             Some(Err(e)) => {
-                let loss = if e.proves_not_sent() { Loss::NotSent } else { Loss::Broken };
+                let loss = match self.cx.suspect {
+                    _ if e.proves_not_sent() => Loss::NotSent,
+                    None => Loss::Broken,
+                    Some(fingerprint) => {
+                        self.cx.tier.note_broken(self.leaf.key, fingerprint, now);
+                        Loss::Garbled
+                    }
+                };
                 let effort = match loss {
                     Loss::NotSent => Effort::None,
                     _ => Effort::Estimated(elapsed.as_micros() as u64),
@@ -199,6 +223,7 @@
             }
             None => {
                 self.note_unanswered(elapsed, now);
+                self.leaf.state().belief.lost(now);
                 let effort = Effort::Estimated(elapsed.as_micros() as u64);
                 (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
             }
@@ -209,10 +234,10 @@
     async fn exchange_or_cancel(
         &self,
         conn: &mut Box<dyn LeafConnection>,
+        outgoing: &OutgoingCall<'_>,
         started: Instant,
-    ) -> Option<Result<Bytes, BackendError>> {
-        let body = self.body(started);
-        let mut exchange = conn.exchange(SEARCH_PATH, body);
+    ) -> Option<Result<Response<Bytes>, BackendError>> {
+        let mut exchange = conn.exchange(self.cx.codec.request(outgoing));
         tokio::select! {
             biased;
             result = &mut exchange => return Some(result),
@@ -227,7 +252,7 @@
     }
 
     /// Sends the call through a relay, which queues, checks the clock and cancels as this host would.
-    async fn run_through(&self, relays: &[RelayHost]) -> (Ended, CallEnd) {
+    async fn run_through(&self, relays: &[RelayHost]) -> (Ended<P>, CallEnd) {
         let started = Instant::now();
         if started >= self.cx.deadline {
             return (Ended::Lost(Loss::NoSlot, Effort::None), CallEnd::Other);
@@ -235,8 +260,17 @@
         if !self.control.begin_write(started) {
             return (Ended::Withdrawn, CallEnd::Other);
         }
+        let Some(search) = &self.cx.relayed else {
+            return (Ended::Lost(Loss::NotSent, Effort::None), CallEnd::Other);
+        };
         let links = &self.cx.tier.relays;
-        let call = links.call(relays, &self.cx, self.send.call, &self.leaf.host.name);
+        let item = RelayedCall {
+            search: search.clone(),
+            call: self.send.call,
+            leaf: self.leaf.host.name.clone(),
+            deadline: self.cx.deadline,
+        };
+        let call = links.call(relays, item);
         let mut call = pin!(call);
         let outcome = tokio::select! {
             biased;
@@ -251,13 +285,13 @@
         self.take_relayed(outcome, started)
     }
 
-    fn take_relayed(&self, outcome: Option<RelayOutcome>, started: Instant) -> (Ended, CallEnd) {
+    fn take_relayed(&self, outcome: Option<RelayOutcome>, started: Instant) -> (Ended<P>, CallEnd) {
         let now = Instant::now();
         let elapsed = now.saturating_duration_since(started);
         let unknown = Effort::Estimated(elapsed.as_micros() as u64);
         let lost = |loss, effort| (Ended::Lost(loss, effort), CallEnd::Other);
         match outcome {
-            Some(RelayOutcome::Told(RelayEnd::Answered { json })) => match LeafAnswer::parse(&json)
+            Some(RelayOutcome::Told(RelayEnd::Answered { json })) => match self.cx.codec.relayed(&json)
             {
                 Ok(answer) if answer.call == self.send.call => {
                     let call_end = self.note_answer(&answer, elapsed, now);
@@ -280,39 +314,32 @@
         }
     }
 
-    fn body(&self, now: Instant) -> Bytes {
+    fn outgoing(&self, now: Instant) -> OutgoingCall<'_> {
         let remaining = self.cx.deadline.saturating_duration_since(now);
-        let request = LeafRequest {
-            call: self.send.call,
-            index: &self.cx.spec.index,
-            kind: &self.cx.spec.kind,
-            idempotent: self.cx.spec.idempotent,
-            remaining_ms: remaining.as_millis() as u64,
-            params: &self.cx.params,
-        };
-        to_json(&request)
+        OutgoingCall { call: self.send.call, leaf: &self.leaf.host, remaining }
     }
 
     /// Cancels on another connection, so that this one can be used again. Best effort.
     async fn tell_leaf_to_cancel(&self) {
-        let conn = match self.leaf.pool.acquire() {
+        let Some(cancellation) = self.cx.codec.cancellation(self.send.call) else { return };
+        let conn = match self.leaf.pool.acquire(ANY_IDLE_TIME, Instant::now()) {
             Acquired::Idle(conn) => Some(conn),
             Acquired::MayOpen => self.open_connection().await.ok(),
             Acquired::Full => None,
         };
         let Some(conn) = conn else { return };
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
-        let cancel = held.conn().exchange(CANCEL_PATH, to_json::<CallId>(&self.send.call));
+        let cancel = held.conn().exchange(cancellation);
         if let Ok(Ok(_)) = tokio::time::timeout(CANCEL_GRACE, cancel).await {
             held.put_back();
         }
     }
 
-    fn note_answer(&self, answer: &LeafAnswer, elapsed: Duration, now: Instant) -> CallEnd {
+    fn note_answer(&self, answer: &LeafReply<P>, elapsed: Duration, now: Instant) -> CallEnd {
         let mut state = self.leaf.state();
         match answer.status {
             LeafStatus::Shed => {
-                state.belief.shed();
+                state.belief.shed(now);
                 self.cx.tier.counters.sheds.increment();
                 return CallEnd::Shed;
             }
@@ -322,21 +349,33 @@
                 self.cx.tier.note_draining(self.leaf.key);
                 return CallEnd::Other;
             }
-            LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
+            LeafStatus::Misdirected => {
+                state.belief.misdirected(now);
+                drop(state);
+                Event::LeafMisdirected.warn(&format!("leaf {}", self.leaf.host.name));
                 return CallEnd::Other;
             }
-            LeafStatus::Ok | LeafStatus::Failed => {
-                state.belief.answered(elapsed, answer.queued, now)
+            LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
+                return CallEnd::Other;
             }
+            LeafStatus::Failed => state.belief.failed(now),
+            LeafStatus::Ok => state.belief.answered(elapsed, answer.queued, now),
         }
         drop(state);
-        self.cx.latency.lock().unwrap().record(elapsed, now);
+        self.record_latency(elapsed, now);
         CallEnd::Answered
     }
 
     fn note_unanswered(&self, elapsed: Duration, now: Instant) {
-        self.leaf.state().belief.unanswered(elapsed);
-        self.cx.latency.lock().unwrap().record(elapsed, now);
+        self.leaf.state().belief.unanswered(elapsed, now);
+        self.record_latency(elapsed, now);
+    }
+
+    /// Records the time that the leaf took, without the way to it.
+    fn record_latency(&self, elapsed: Duration, now: Instant) {
+        let distance = self.cx.tier.distances.lock().unwrap().of(&self.leaf.host.zone);
+        let worked = elapsed.saturating_sub(distance);
+        self.cx.latency.lock().unwrap().record(worked, now);
     }
 
     fn note_loss(&self, error: &BackendError) {
@@ -344,7 +383,11 @@
         if !error.proves_not_sent() {
             counters.broken.increment();
         }
-        let ejected = self.leaf.state().belief.lost(Instant::now());
+        let now = Instant::now();
+        let mut state = self.leaf.state();
+        let ejected =
+            if error.is_refused() { state.belief.refused(now) } else { state.belief.lost(now) };
+        drop(state);
         if ejected {
             counters.ejections.increment();
             Event::LeafEjected.warn(&format!("leaf {}: {error}", self.leaf.host.name));
@@ -363,10 +406,6 @@
     }
 }
 
-fn to_json<T: Serialize>(value: &T) -> Bytes {
-    serde_json::to_vec(value).expect("message types serialise").into()
-}
-
 /// Counts a connection as closed unless it was kept.
 struct OpenGuard<'a> {
     leaf: &'a Leaf,
@@ -394,7 +433,7 @@
 
     fn put_back(&mut self) {
         if let Some(conn) = self.conn.take() {
-            self.leaf.pool.put_back(conn);
+            self.leaf.pool.put_back(conn, Instant::now());
         }
     }
 }
--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -5,9 +5,9 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
-use serde_json::value::RawValue;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
@@ -15,9 +15,12 @@
 use crate::catalogue::Entry;
 use crate::ids::IndexName;
 use crate::latency::LatencyTracker;
+use crate::leaf_codec::LeafCodec;
 use crate::leaf_protocol::CallId;
-use crate::leaf_protocol::LeafAnswer;
+use crate::leaf_protocol::LeafReply;
 use crate::plan::Loss;
+use crate::quarantine::Fingerprint;
+use crate::search_codec::SearchCodec;
 use crate::tier::EntryState;
 use crate::tier::Tier;
 
@@ -85,9 +88,9 @@
 
 /// What a call tells the owner of its query.
 #[derive(Debug)]
-pub enum CallEvent {
+pub enum CallEvent<P> {
     /// The leaf answered.
-    Answered(CallId, LeafAnswer),
+    Answered(CallId, LeafReply<P>),
     /// The call ended without a usable answer.
     Lost(CallId, Loss),
 }
@@ -124,20 +127,30 @@
     pub entry_state: Arc<EntryState>,
 }
 
-/// What the calls of one query have in common.
-pub struct CallContext {
+/// What the calls of one query have in common. `P` is what a leaf contributes.
+pub struct CallContext<P> {
     /// The shared tables.
     pub tier: Arc<Tier>,
-    /// What is called.
-    pub spec: CallSpec,
+    /// Writes the calls and reads their replies.
+    pub codec: Arc<dyn LeafCodec<P>>,
+    /// The entry's class.
+    pub class: Class,
+    /// What a call through a relay needs; without it, calls go to the leafs directly.
+    pub relayed: Option<Arc<SearchCodec>>,
+    /// The request, where a broken connection alone is no sign that it crashed the leaf.
+    pub suspect: Option<Fingerprint>,
+    /// The oldest idle connection that may carry a call; one that is not repeatable must not meet a
+    /// connection that the leaf has just closed.
+    pub max_idle: Duration,
     /// Who is charged; nobody for a call that another host made, which charges it itself.
     pub charge: Option<ChargeTo>,
-    /// The index's learned latency.
+    /// Learned latency of the calls.
     pub latency: Arc<Mutex<LatencyTracker>>,
-    /// The caller's parameters.
-    pub params: Box<RawValue>,
     /// When the answer is of no more use.
     pub deadline: Instant,
     /// Where the end of each call is told.
-    pub events: mpsc::UnboundedSender<CallEvent>,
+    pub events: mpsc::UnboundedSender<CallEvent<P>>,
 }
+
+/// Longest idle time of a connection for calls that may be repeated.
+pub const ANY_IDLE_TIME: Duration = Duration::from_secs(3_600);
--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -22,6 +22,12 @@
 /// The longest deadline that an entry may ask for, in milliseconds.
 pub const MAX_DEADLINE_MS: u64 = 60_000;
 
+/// The most calls that one shard gets in one query, where an entry names no number.
+pub const DEFAULT_ATTEMPTS: u64 = 4;
+
+/// The most calls that an entry may ask for.
+pub const MAX_ATTEMPTS: u64 = 16;
+
 /// Largest share of extra leaf calls (hedges and retries) that an entry may ask for.
 pub const MAX_EXTRA_LOAD: f64 = 0.5;
 
@@ -123,6 +129,10 @@
     pub idempotent: bool,
     /// Time from arrival to answer.
     pub deadline: Duration,
+    /// Time from arrival after which a useful partial answer is better than a later whole one.
+    pub goal: Option<Duration>,
+    /// The most calls that one shard gets in one query, hedges and retries included.
+    pub attempts: usize,
     /// Smallest share of shards that makes an answer useful, 0 to 1.
     pub minimum_coverage: f64,
     /// What happens when the pinned version is lost.
@@ -169,6 +179,9 @@
     class: Class,
     idempotent: bool,
     deadline_ms: Spanned<u64>,
+    goal_ms: Option<Spanned<u64>>,
+    #[serde(default = "default_attempts")]
+    attempts: Spanned<u64>,
     minimum_coverage: Spanned<f64>,
     #[serde(default = "default_on_version_loss")]
     on_version_loss: Spanned<OnVersionLoss>,
@@ -184,6 +197,10 @@
     extra_load: Spanned<f64>,
 }
 
+fn default_attempts() -> Spanned<u64> {
+    Spanned::new(0..0, DEFAULT_ATTEMPTS)
+}
+
 fn default_on_version_loss() -> Spanned<OnVersionLoss> {
     Spanned::new(0..0, OnVersionLoss::Partial)
 }
@@ -323,6 +340,12 @@
             let hint = format!("use 1 to {MAX_DEADLINE_MS} milliseconds");
             self.fault(&raw.deadline_ms, "deadline_ms", &format!("is {deadline_ms}"), &hint);
         }
+        let goal_ms = self.check_goal(raw, deadline_ms);
+        let attempts = *raw.attempts.get_ref();
+        if !(1..=MAX_ATTEMPTS).contains(&attempts) {
+            let hint = format!("use 1 to {MAX_ATTEMPTS} calls");
+            self.fault(&raw.attempts, "attempts", &format!("is {attempts}"), &hint);
+        }
         let minimum_coverage = self.share(&raw.minimum_coverage, "minimum_coverage", 1.0);
         let limits = self.check_limits(&raw.limits);
         self.check_idempotent(raw, &limits);
@@ -334,12 +357,24 @@
             class: raw.class,
             idempotent: raw.idempotent,
             deadline: Duration::from_millis(deadline_ms),
+            goal: goal_ms.map(Duration::from_millis),
+            attempts: attempts as usize,
             minimum_coverage,
             on_version_loss: *raw.on_version_loss.get_ref(),
             limits,
         })
     }
 
+    fn check_goal(&mut self, raw: &RawEntry, deadline_ms: u64) -> Option<u64> {
+        let goal = raw.goal_ms.as_ref()?;
+        let goal_ms = *goal.get_ref();
+        if !(1..=deadline_ms).contains(&goal_ms) {
+            let hint = format!("use 1 to {deadline_ms} milliseconds, the entry's deadline");
+            self.fault(goal, "goal_ms", &format!("is {goal_ms}"), &hint);
+        }
+        Some(goal_ms)
+    }
+
     fn check_limits(&mut self, raw: &RawLimits) -> Limits {
         if *raw.concurrent.get_ref() == 0 {
             self.fault(&raw.concurrent, "limits.concurrent", "is 0", "use at least 1");
--- /dev/null
+++ b/lib/src/edge.rs
@@ -0,0 +1,304 @@
+//! Serves callers of opaque requests over HTTP/1.1, connection by connection.
+//!
+//! `hyper` serves here in place of `xitca-web`: idle limits follow the configuration, a leaving
+//! process closes each connection on its own, and a request's future is dropped when its caller
+//! goes away, which cancels its calls.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::activity::Activity;
+use crate::activity::ConnectionVerdict;
+use crate::caller_codec::CallerCodec;
+use crate::events::Event;
+use crate::log_event;
+use crate::opaque::OpaqueAnswer;
+use crate::opaque::OwnAnswer;
+use crate::opaque_catalogue::CallerLimits;
+use crate::opaque_front::OpaqueFront;
+use crate::opaque_view::ViewCell;
+use crate::socket;
+
+/// Longest time for a request's body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Smallest buffer that the HTTP library accepts for a connection.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Pause after a connection could not be accepted, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What serves callers.
+pub struct Edge {
+    front: OpaqueFront,
+    views: Arc<ViewCell>,
+    codec: Box<dyn CallerCodec>,
+    leaving: AtomicBool,
+    closing: AtomicBool,
+    connections: AtomicUsize,
+    in_progress: AtomicUsize,
+}
+
+impl Edge {
+    /// Makes an edge.
+    pub fn new(front: OpaqueFront, views: Arc<ViewCell>, codec: Box<dyn CallerCodec>) -> Self {
+        Self {
+            front,
+            views,
+            codec,
+            leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            in_progress: AtomicUsize::new(0),
+        }
+    }
+
+    /// Ends each connection with its next answer from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Closes idle connections from now on.
+    pub fn close_idle(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    fn limits(&self) -> CallerLimits {
+        let view = self.views.get();
+        view.catalogue.as_ref().map(|c| c.caller_limits).unwrap_or_default()
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(e) => {
+                    log_event!(warn, Event::CallerLost, step = "accept", cause = %e);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let _open = CountGuard::new(&self.connections);
+        // A failure to set an option costs latency, or time until a silent caller is noticed.
+        let _ = stream.set_nodelay(true).and_then(|()| socket::watch_for_silence(&stream));
+        let activity = Arc::new(Mutex::new(Activity::new(Instant::now())));
+        let io = TokioIo::new(WatchedStream { stream, activity: activity.clone() });
+        let service = service_fn(|req| self.handle(req, &activity));
+        let buffer = self.limits().head_bytes.max(MIN_BUFFER_BYTES);
+        let conn = http1::Builder::new().max_buf_size(buffer).serve_connection(io, service);
+        let mut conn = pin!(conn);
+        let mut look_at = Instant::now();
+        let mut is_closed = false;
+        loop {
+            tokio::select! {
+                biased;
+                _ = conn.as_mut() => return,
+                () = tokio::time::sleep_until(look_at.into()), if !is_closed => {}
+            }
+            let now = Instant::now();
+            let closing = self.closing.load(Ordering::Relaxed);
+            let verdict = activity.lock().unwrap().verdict(&self.limits(), closing, now);
+            match verdict {
+                ConnectionVerdict::Keep(at) => look_at = at,
+                ConnectionVerdict::Close => {
+                    conn.as_mut().graceful_shutdown();
+                    is_closed = true;
+                }
+                ConnectionVerdict::Abort => return,
+            }
+        }
+    }
+
+    async fn handle(
+        &self,
+        req: Request<Incoming>,
+        activity: &Mutex<Activity>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let arrived = Instant::now();
+        activity.lock().unwrap().begin(arrived);
+        let _in_progress = CountGuard::new(&self.in_progress);
+        let answer = self.answer(req, arrived).await;
+        let mut response = self.codec.response(answer).map(Full::new);
+        if self.is_leaving() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        activity.lock().unwrap().end(Instant::now());
+        Ok(response)
+    }
+
+    async fn answer(&self, req: Request<Incoming>, arrived: Instant) -> OpaqueAnswer {
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().to_owned();
+        let mut lost = LostCaller { path: Some(path), arrived };
+        let answer = match self.read_body(body).await {
+            Ok(body) => match self.codec.request(head, body) {
+                Ok(req) => self.front.answer(req, arrived).await,
+                Err(own) => refused(own),
+            },
+            Err(own) => refused(own),
+        };
+        lost.path = None;
+        answer
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, OwnAnswer> {
+        let limit = self.limits().body_bytes;
+        let too_large = || OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large");
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large());
+        }
+        let collected = Limited::new(body, limit).collect();
+        match tokio::time::timeout(BODY_TIME, collected).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+            Ok(Err(e)) => {
+                let message = format!("The body cannot be read: {e}");
+                Err(OwnAnswer::new(StatusCode::BAD_REQUEST, message))
+            }
+            Err(_) => {
+                let message = "The body did not come in time; the request has not run";
+                Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, message))
+            }
+        }
+    }
+}
+
+fn refused(own: OwnAnswer) -> OpaqueAnswer {
+    let status = own.status.as_u16();
+    log_event!(info, Event::RequestRefused, status, cause = &*own.message);
+    OpaqueAnswer::Own(own)
+}
+
+/// Logs a caller that went away: its request's future is dropped before the answer.
+struct LostCaller {
+    path: Option<String>,
+    arrived: Instant,
+}
+
+impl Drop for LostCaller {
+    fn drop(&mut self) {
+        if let Some(path) = &self.path {
+            let elapsed_ms = self.arrived.elapsed().as_millis() as u64;
+            log_event!(info, Event::CallerLost, step = "answer", path = path.as_str(), elapsed_ms);
+        }
+    }
+}
+
+struct CountGuard<'a>(&'a AtomicUsize);
+
+impl<'a> CountGuard<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A caller's socket that notes when bytes are read.
+struct WatchedStream {
+    stream: TcpStream,
+    activity: Arc<Mutex<Activity>>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.activity.lock().unwrap().read(Instant::now());
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/lib/src/edge_control.rs
@@ -0,0 +1,168 @@
+//! Serves readiness, metrics, the state dump, and the fleet's exchanges.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::counters::CounterValues;
+use crate::edge::Edge;
+use crate::fleet::HostCard;
+use crate::fleet_link::CHANGES_PATH;
+use crate::fleet_link::EXCHANGE_PATH;
+use crate::fleet_link::FleetLink;
+use crate::metrics::Metrics;
+use crate::subscriber::Knowledge;
+use crate::tier::Tier;
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+/// Path of the state dump.
+pub const STATE_PATH: &str = "/state";
+/// The largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// What the control address shows.
+pub struct EdgeControl {
+    /// The fleet's exchanges.
+    pub link: Arc<FleetLink>,
+    /// What is known.
+    pub knowledge: Arc<Knowledge>,
+    /// What serves callers.
+    pub edge: Arc<Edge>,
+    /// Latencies.
+    pub metrics: Arc<Metrics>,
+    /// Shared tables.
+    pub tier: Arc<Tier>,
+    /// The platform's path for readiness.
+    pub ready_path: &'static str,
+}
+
+/// The state of a process.
+#[derive(Debug, Serialize)]
+pub struct EdgeState {
+    ready: bool,
+    version: u64,
+    position: u64,
+    platform_silent_ms: u64,
+    connections: usize,
+    in_progress: usize,
+    hosts: Vec<HostCard>,
+    leafs: Vec<LeafState>,
+    counters: CounterValues,
+}
+
+/// A leaf in the state of a process.
+#[derive(Debug, Serialize)]
+struct LeafState {
+    name: String,
+    group: u32,
+    addr: String,
+    usability: crate::belief::Usability,
+    service_us: u64,
+    in_flight: u32,
+    queued: usize,
+    connections: u32,
+    losses: u64,
+    sheds: u64,
+}
+
+impl EdgeControl {
+    /// Whether new requests are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.knowledge.is_whole() && !self.edge.is_leaving()
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                continue;
+            };
+            let control = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|req| control.handle(req));
+                let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                // A peer that goes away asks again on another connection.
+                let _ = conn.await;
+            });
+        }
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let path = req.uri().path().to_owned();
+        let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
+        let Ok(body) = body else { return Ok(reply(StatusCode::BAD_REQUEST, Bytes::new())) };
+        let body = body.to_bytes();
+        Ok(match path.as_str() {
+            path if path == self.ready_path && self.is_ready() => reply(StatusCode::OK, "ready"),
+            path if path == self.ready_path => reply(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            METRICS_PATH => reply(StatusCode::OK, self.metrics.render(&self.tier.counters)),
+            STATE_PATH => {
+                let state = serde_json::to_vec(&self.state()).expect("state types serialise");
+                reply(StatusCode::OK, state)
+            }
+            EXCHANGE_PATH => answered(self.link.answer_exchange(&body)),
+            CHANGES_PATH => answered(self.link.answer_changes(&body)),
+            _ => reply(StatusCode::NOT_FOUND, "no such path"),
+        })
+    }
+
+    fn state(&self) -> EdgeState {
+        let now = std::time::Instant::now();
+        let view = self.knowledge.views.get();
+        let leafs = view.leafs.iter().map(|leaf| {
+            let state = leaf.state();
+            LeafState {
+                name: leaf.host.name.to_string(),
+                group: leaf.host.detail.group.0,
+                addr: leaf.host.addr.to_string(),
+                usability: state.belief.usability(now),
+                service_us: state.belief.service().as_micros() as u64,
+                in_flight: state.gate.in_flight(),
+                queued: state.gate.queued(),
+                connections: leaf.pool.open(),
+                losses: state.belief.losses(),
+                sheds: state.belief.sheds(),
+            }
+        });
+        let silence = self.knowledge.outage.lock().unwrap().silence(now);
+        EdgeState {
+            ready: self.is_ready(),
+            version: view.catalogue.as_ref().map_or(0, |c| c.version.0),
+            position: view.position.0,
+            platform_silent_ms: silence.as_millis() as u64,
+            connections: self.edge.connections(),
+            in_progress: self.edge.in_progress(),
+            hosts: self.knowledge.fleet.lock().unwrap().members().cloned().collect(),
+            leafs: leafs.collect(),
+            counters: self.tier.counters.values(),
+        }
+    }
+}
+
+fn answered(result: Result<Bytes, rmp_serde::decode::Error>) -> Response<Full<Bytes>> {
+    match result {
+        Ok(body) => reply(StatusCode::OK, body),
+        Err(e) => reply(StatusCode::BAD_REQUEST, format!("Message cannot be read: {e}")),
+    }
+}
+
+fn reply(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/lib/src/edge_daemon.rs
@@ -0,0 +1,263 @@
+//! One process that serves opaque requests: wires its parts, and leaves gracefully.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::caller_codec::CallerCodec;
+use crate::connection_share;
+use crate::distance::Distances;
+use crate::edge::Edge;
+use crate::edge_control::EdgeControl;
+use crate::events::Event;
+use crate::fleet::Fleet;
+use crate::fleet::HostCard;
+use crate::fleet_budget::FleetBudget;
+use crate::fleet_budget::FleetLimits;
+use crate::fleet_link::FleetLink;
+use crate::http_client::HttpClient;
+use crate::http_leaf::HttpLeafBackend;
+use crate::ids::HostName;
+use crate::ids::Zone;
+use crate::log_event;
+use crate::metrics::Metrics;
+use crate::opaque_front::CodecMaker;
+use crate::opaque_front::OpaqueFront;
+use crate::opaque_view::ViewCell;
+use crate::outage::Outage;
+use crate::publications::Decoder;
+use crate::publications::Publications;
+use crate::relay_link::RelayLinks;
+use crate::signature::KeyRing;
+use crate::steady_clock::PauseWatch;
+use crate::subscriber::Knowledge;
+use crate::subscriber::Subscriber;
+use crate::subscription::Subscription;
+use crate::tier::Identity;
+use crate::tier::Tier;
+
+/// Hosts expected to share the budget's slack before any other was heard.
+const UNHEARD_HOSTS: usize = 16;
+/// Time after the signal to leave in which new connections still come, until the balancer has
+/// noticed.
+const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+/// Time kept free at the end of the time allowed for leaving.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// How often a leaving process looks whether it is finished.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// How often a process looks whether it was paused.
+const PAUSE_CHECK: Duration = Duration::from_millis(250);
+/// How often idle connections to leafs are looked at.
+const IDLE_CHECK: Duration = Duration::from_millis(500);
+
+/// Checked settings of a process that serves opaque requests.
+#[derive(Clone, Debug)]
+pub struct EdgeSettings {
+    /// Name of this host.
+    pub host: HostName,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The region of each zone.
+    pub regions: BTreeMap<String, String>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this process is ready.
+    pub ready: SocketAddr,
+    /// Where other hosts of the fleet connect.
+    pub control: SocketAddr,
+    /// Control addresses of some hosts.
+    pub seeds: Vec<SocketAddr>,
+    /// Limits for extra calls over the fleet.
+    pub fleet_limits: FleetLimits,
+    /// Time allowed for leaving.
+    pub grace: Duration,
+}
+
+/// The platform's side of a process.
+pub struct PlatformParts {
+    /// Reads what is published.
+    pub publications: Box<dyn Publications>,
+    /// Reads its formats.
+    pub decoder: Box<dyn Decoder>,
+    /// Speaks with callers.
+    pub callers: Box<dyn CallerCodec>,
+    /// Speaks with leafs.
+    pub leafs: Box<dyn CodecMaker>,
+    /// Path at which readiness is asked.
+    pub ready_path: &'static str,
+}
+
+/// Why a process could not start. Names the step and the address.
+#[derive(Debug, Error)]
+pub enum EdgeDaemonError {
+    /// The address is not available.
+    #[error("Listening on {addr} for {step} failed")]
+    Listen {
+        /// What listens there.
+        step: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// The cause.
+        #[source]
+        source: io::Error,
+    },
+}
+
+/// Result of starting a process.
+pub type Result<T> = std::result::Result<T, EdgeDaemonError>;
+
+/// A running process.
+pub struct EdgeDaemon {
+    settings: EdgeSettings,
+    edge: Arc<Edge>,
+    knowledge: Arc<Knowledge>,
+}
+
+async fn listen(step: &'static str, addr: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|source| EdgeDaemonError::Listen { step, addr, source })
+}
+
+impl EdgeDaemon {
+    /// Starts a process. Must be called within a runtime.
+    pub async fn start(settings: EdgeSettings, parts: PlatformParts) -> Result<Self> {
+        let now = Instant::now();
+        let callers = listen("callers", settings.callers).await?;
+        let ready = listen("readiness", settings.ready).await?;
+        let control = listen("control", settings.control).await?;
+        let tier = make_tier(&settings);
+        let budget = FleetBudget::new(settings.fleet_limits, UNHEARD_HOSTS);
+        let budget = Arc::new(Mutex::new(budget));
+        let views = Arc::new(ViewCell::new(now));
+        let metrics = Arc::new(Metrics::default());
+        let knowledge = Arc::new(Knowledge {
+            subscription: Mutex::new(Subscription::new(parts.decoder, settings.host.clone(), now)),
+            outage: Mutex::new(Outage::new(now)),
+            fleet: Mutex::new(make_fleet(&settings, &tier)),
+            regions: settings.regions.clone(),
+            budget: budget.clone(),
+            views: views.clone(),
+        });
+        let front =
+            OpaqueFront::new(tier.clone(), views.clone(), parts.leafs, budget, metrics.clone());
+        let edge = Arc::new(Edge::new(front, views, parts.callers));
+        let client = HttpClient::from_local(Some(settings.control.ip()));
+        let link = Arc::new(FleetLink::new(knowledge.clone(), tier.clone(), client));
+        let control_service = Arc::new(EdgeControl {
+            link: link.clone(),
+            knowledge: knowledge.clone(),
+            edge: edge.clone(),
+            metrics,
+            tier,
+            ready_path: parts.ready_path,
+        });
+        let subscriber = Subscriber::new(knowledge.clone(), parts.publications);
+        tokio::spawn(watch_for_pauses(subscriber.wake.clone()));
+        tokio::spawn(subscriber.run());
+        tokio::spawn(knowledge.clone().expire_lapsed());
+        tokio::spawn(close_idle(knowledge.clone()));
+        tokio::spawn(link.run());
+        tokio::spawn(edge.clone().accept(callers));
+        tokio::spawn(control_service.clone().accept(ready));
+        tokio::spawn(control_service.accept(control));
+        log_event!(
+            info,
+            Event::Listening,
+            host = settings.host.as_str(),
+            zone = settings.zone.as_str(),
+            callers = %settings.callers,
+            control = %settings.control
+        );
+        Ok(Self { settings, edge, knowledge })
+    }
+
+    /// Takes new settings: the seeds, and the limits that may change while a process runs.
+    pub fn reload(&self, settings: &EdgeSettings) {
+        self.knowledge.fleet.lock().unwrap().set_seeds(settings.seeds.iter().copied());
+        log_event!(info, Event::SettingsRead, seeds = settings.seeds.len());
+    }
+
+    /// Leaves: serves what comes until the balancer has noticed, then finishes what is in progress.
+    pub async fn leave(self) {
+        let started = Instant::now();
+        self.edge.leave();
+        self.knowledge.fleet.lock().unwrap().leave();
+        let (connections, in_progress) = (self.edge.connections(), self.edge.in_progress());
+        log_event!(info, Event::Leaving, connections, in_progress);
+        let ends_at = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
+        tokio::time::sleep_until((started + NOTICE_TIME).min(ends_at).into()).await;
+        self.edge.close_idle();
+        while self.edge.connections() > 0 && Instant::now() < ends_at {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        let (connections, in_progress) = (self.edge.connections(), self.edge.in_progress());
+        let took_ms = started.elapsed().as_millis() as u64;
+        log_event!(info, Event::Stopped, connections, in_progress, took_ms);
+    }
+}
+
+fn make_tier(settings: &EdgeSettings) -> Arc<Tier> {
+    let identity = Identity {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation: Tier::new_incarnation(),
+    };
+    let backend = Box::new(HttpLeafBackend { local: Some(settings.callers.ip()) });
+    // Calls always go to leafs directly here.
+    let relays = RelayLinks::new(HttpClient::default(), KeyRing::new(Vec::new()));
+    let tier = Tier::new(identity, backend, Arc::new(relays));
+    let regions = settings.regions.iter().filter_map(|(zone, region)| {
+        Some((Zone::try_from(zone.as_str()).ok()?, region.clone()))
+    });
+    *tier.distances.lock().unwrap() = Distances::new(settings.zone.clone(), regions.collect());
+    Arc::new(tier)
+}
+
+fn make_fleet(settings: &EdgeSettings, tier: &Tier) -> Fleet {
+    let own = HostCard {
+        name: settings.host.to_string(),
+        addr: settings.control,
+        zone: settings.zone.to_string(),
+        incarnation: tier.identity.incarnation,
+        leaving: false,
+    };
+    Fleet::new(own, settings.seeds.iter().copied())
+}
+
+/// Looks whether the process was paused or its host suspended, and lets the platform be read anew.
+async fn watch_for_pauses(wake: Arc<Notify>) {
+    let mut watch = PauseWatch::new();
+    loop {
+        tokio::time::sleep(PAUSE_CHECK).await;
+        if let Some(pause) = watch.look() {
+            log_event!(
+                warn,
+                Event::Paused,
+                paused_ms = pause.as_millis() as u64
+            );
+            wake.notify_one();
+        }
+    }
+}
+
+/// Closes connections to leafs that were idle for too long.
+async fn close_idle(knowledge: Arc<Knowledge>) {
+    loop {
+        tokio::time::sleep(IDLE_CHECK).await;
+        let now = Instant::now();
+        let view = knowledge.views.get();
+        for leaf in view.leafs.iter() {
+            let counts = knowledge.host_counts(leaf.host.zone.as_str());
+            let idle_time = connection_share::share(leaf.host.connections, counts).idle_time;
+            leaf.pool.close_idle(idle_time, now);
+        }
+    }
+}
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -46,18 +46,56 @@
     PlatformSilent = 203,
     /// The platform can be read again.
     PlatformHeard = 204,
+    /// A configuration is in force.
+    ConfigurationInForce = 205,
+    /// A configuration cannot be read and is refused whole; the last one stays.
+    ConfigurationUnusable = 206,
+    /// A configuration older than the one in force was offered and refused.
+    ConfigurationStale = 207,
+    /// An entry of a configuration cannot be used; the others are in force.
+    EntryUnusable = 208,
+    /// The settings were read again.
+    SettingsRead = 209,
+    /// Settings cannot be used; the last ones stay.
+    SettingsUnusable = 210,
+    /// The platform's history was lost and everything is listed anew.
+    HistoryLost = 211,
     /// A leaf failed several times in a row and is left out for a while.
     LeafEjected = 300,
     /// A request broke a leaf's connection and is suspected.
     RequestSuspected = 301,
     /// A suspected request broke another connection on trial and is refused for a while.
     RequestCondemned = 302,
+    /// Another leaf answers at a leaf's address; it is left out until it is listed anew.
+    LeafMisdirected = 303,
+    /// A response belongs to another call or cannot be read, and is dropped.
+    ReplyStray = 304,
+    /// A leaf's entry came or changed.
+    LeafHeard = 305,
+    /// A leaf's entry was removed.
+    LeafRemoved = 306,
+    /// A leaf that lapsed while the platform was away did not come back.
+    LeafLapsed = 307,
+    /// A leaf's entry cannot be used; the others hold.
+    LeafEntryUnusable = 308,
     /// A peer was heard for the first time in this run of it.
     PeerJoined = 400,
     /// A peer says that it is leaving.
     PeerLeaving = 402,
     /// A peer message failed its authentication.
     PeerForged = 403,
+    /// A peer was not heard for a while and is left out.
+    PeerSilent = 404,
+    /// A request was answered.
+    RequestAnswered = 500,
+    /// A request was refused before any leaf was called; it has not run.
+    RequestRefused = 501,
+    /// A call was made beside or after another one for the same shard.
+    CallRepeated = 502,
+    /// A caller went away before its answer, or sent what cannot be read.
+    CallerLost = 503,
+    /// Log lines were dropped because the output did not take them in time.
+    LogDropped = 600,
 }
 
 impl Event {
@@ -76,3 +114,12 @@
         tracing::warn!(event = self.number(), name = self.name(), "{detail}");
     }
 }
+
+/// Logs a numbered event with fields.
+#[macro_export]
+macro_rules! log_event {
+    ($level:ident, $event:expr, $($fields:tt)*) => {{
+        let event: $crate::events::Event = $event;
+        tracing::$level!(event = event.number(), name = event.name(), $($fields)*)
+    }};
+}
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,184 @@
+//! The fleet's hosts, as they learn of each other from a few seeds.
+//!
+//! Hosts exchange cards, each with the time since its host was heard. No list of hosts is published;
+//! a host that nobody heard for a while is gone. Invariants: a card of an earlier run of a process
+//! never replaces that of a later one that was heard since; ages only grow on their way.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+use crate::ids::Incarnation;
+
+/// Time without news after which a host is gone.
+const SILENCE: Duration = Duration::from_secs(10);
+/// Cards that one message carries, beside the sender's own.
+const MAX_CARDS: usize = 24;
+/// Share of exchanges that go to another zone.
+const OTHER_ZONE_SHARE: f64 = 0.2;
+/// Share of exchanges that go to a seed, so that parts of the fleet that lost each other meet again.
+const SEED_SHARE: f64 = 0.1;
+
+/// What a host says of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostCard {
+    /// Its name.
+    pub name: String,
+    /// Where it talks to other hosts.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A card and how old it is.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AgedCard {
+    /// The card.
+    pub card: HostCard,
+    /// Time since its host said this.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    card: HostCard,
+    heard_at: Instant,
+}
+
+/// The hosts known to this one.
+#[derive(Debug)]
+pub struct Fleet {
+    own: HostCard,
+    seeds: BTreeSet<SocketAddr>,
+    members: BTreeMap<String, Member>,
+}
+
+/// What a message taught.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Learned {
+    /// Hosts, or new runs of them, heard of for the first time.
+    pub joined: Vec<String>,
+    /// Hosts that began to leave.
+    pub leaving: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts with seeds, which may be stale or down.
+    pub fn new(own: HostCard, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
+        Self { own, seeds, members: BTreeMap::new() }
+    }
+
+    /// Changes the seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds = seeds.into_iter().filter(|seed| *seed != self.own.addr).collect();
+    }
+
+    /// Says from now on that this host is leaving.
+    pub fn leave(&mut self) {
+        self.own.leaving = true;
+    }
+
+    /// Returns this host's card.
+    pub fn own(&self) -> &HostCard {
+        &self.own
+    }
+
+    /// Takes in cards.
+    pub fn heard(&mut self, cards: Vec<AgedCard>, now: Instant) -> Learned {
+        let mut learned = Learned::default();
+        for AgedCard { card, age } in cards {
+            let Some(heard_at) = now.checked_sub(age) else { continue };
+            if card.name == self.own.name || age > SILENCE {
+                continue;
+            }
+            self.take(Member { card, heard_at }, &mut learned);
+        }
+        learned
+    }
+
+    fn take(&mut self, member: Member, learned: &mut Learned) {
+        let name = member.card.name.clone();
+        let known = self.members.get(&name);
+        if known.is_some_and(|known| known.heard_at >= member.heard_at) {
+            return;
+        }
+        let same_run = known.filter(|k| k.card.incarnation == member.card.incarnation);
+        if same_run.is_none() {
+            learned.joined.push(name.clone());
+        } else if member.card.leaving && same_run.is_some_and(|known| !known.card.leaving) {
+            learned.leaving.push(name.clone());
+        }
+        self.members.insert(name, member);
+    }
+
+    /// Forgets hosts that nobody heard for a while. Returns their names.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let is_silent =
+            |member: &Member| now.saturating_duration_since(member.heard_at) > SILENCE;
+        let silent: Vec<_> = self.members.iter().filter(|(_, m)| is_silent(m)).collect();
+        let silent: Vec<String> = silent.into_iter().map(|(name, _)| name.clone()).collect();
+        silent.iter().for_each(|name| {
+            self.members.remove(name);
+        });
+        silent
+    }
+
+    /// Returns the cards to send: this host's own and a sample of the others.
+    pub fn cards(&self, rng: &mut impl Rng, now: Instant) -> Vec<AgedCard> {
+        let own = AgedCard { card: self.own.clone(), age: Duration::ZERO };
+        let aged = |member: &Member| AgedCard {
+            card: member.card.clone(),
+            age: now.saturating_duration_since(member.heard_at),
+        };
+        let others = self.members.values().choose_multiple(rng, MAX_CARDS);
+        std::iter::once(own).chain(others.into_iter().map(aged)).collect()
+    }
+
+    /// Picks whom to exchange cards with next: mostly a host of the own zone.
+    pub fn next_peer(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let seed = |rng: &mut _| self.seeds.iter().copied().choose(rng);
+        if self.members.is_empty() || rng.random_bool(SEED_SHARE) {
+            if let Some(seed) = seed(rng) {
+                return Some(seed);
+            }
+        }
+        let in_own_zone = !rng.random_bool(OTHER_ZONE_SHARE);
+        let fits = |member: &&Member| (member.card.zone == self.own.zone) == in_own_zone;
+        let fitting = self.members.values().filter(fits).choose(rng);
+        let any = || self.members.values().choose(rng);
+        fitting.or_else(any).map(|member| member.card.addr)
+    }
+
+    /// Returns the number of hosts, this one included, in the zones for which `fits` holds.
+    pub fn count(&self, fits: impl Fn(&str) -> bool) -> usize {
+        let others = self.members.values().filter(|member| fits(&member.card.zone)).count();
+        others + usize::from(fits(&self.own.zone))
+    }
+
+    /// Returns where the hosts of the own zone are that are not leaving, ordered by name.
+    pub fn zone_peers(&self) -> impl Iterator<Item = &HostCard> {
+        let cards = self.members.values().map(|member| &member.card);
+        cards.filter(|card| card.zone == self.own.zone && !card.leaving)
+    }
+
+    /// Returns all cards, for the state dump.
+    pub fn members(&self) -> impl Iterator<Item = &HostCard> {
+        self.members.values().map(|member| &member.card)
+    }
+}
--- /dev/null
+++ b/lib/src/fleet_budget.rs
@@ -0,0 +1,149 @@
+//! This host's part of the fleet's budget for calls beyond the first of each request.
+//!
+//! All hosts together may make, in each window, a share of the requests of a group of leafs plus a
+//! fixed slack. Each host spends the share of its own requests, and a part of the slack that stays
+//! safe when hosts are unseen or restarted. Invariant: over any window, extra calls are at most the
+//! share of the requests in it plus this host's slack.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::extra_calls::ExtraCalls;
+use crate::ids::GroupKey;
+use crate::leaf::Leaf;
+use crate::plan::RetryCause;
+
+/// Part of the fleet's ratio that hosts use; the rest covers clocks and windows that do not agree.
+const RATIO_USE: f64 = 0.85;
+/// Part of the fleet's slack that hosts use. A host that restarts has forgotten what it spent.
+const SLACK_USE: f64 = 0.4;
+/// Part of the budget that hedges leave for retries.
+const RETRY_RESERVE: f64 = 0.2;
+/// Counting buckets of a window.
+const BUCKETS: u32 = 20;
+
+/// The fleet's limits for extra calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetLimits {
+    /// Extra calls as a share of requests.
+    pub ratio: f64,
+    /// Extra calls beyond the share, in each window, over all hosts.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    begun_at: Instant,
+    requests: u32,
+    extra: u32,
+}
+
+/// Counts of one group of leafs.
+#[derive(Debug, Default)]
+struct Window {
+    buckets: VecDeque<Bucket>,
+    requests: u32,
+    extra: u32,
+}
+
+impl Window {
+    fn turn(&mut self, length: Duration, now: Instant) {
+        while let Some(oldest) = self.buckets.front()
+            && now.saturating_duration_since(oldest.begun_at) > length
+        {
+            self.requests -= oldest.requests;
+            self.extra -= oldest.extra;
+            self.buckets.pop_front();
+        }
+    }
+
+    fn bucket(&mut self, length: Duration, now: Instant) -> &mut Bucket {
+        let step = length / BUCKETS;
+        let is_due =
+            self.buckets.back().is_none_or(|b| now.saturating_duration_since(b.begun_at) >= step);
+        if is_due {
+            self.buckets.push_back(Bucket { begun_at: now, requests: 0, extra: 0 });
+        }
+        self.buckets.back_mut().expect("a bucket was just made where there was none")
+    }
+}
+
+/// The budget of all groups on this host.
+#[derive(Debug)]
+pub struct FleetBudget {
+    limits: FleetLimits,
+    hosts: usize,
+    windows: HashMap<GroupKey, Window>,
+}
+
+/// What extra calls are for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExtraUse {
+    /// A call beside one that is slow.
+    Hedge,
+    /// A call after one that failed.
+    Retry,
+}
+
+impl FleetBudget {
+    /// Starts with nothing spent. `hosts` is how many hosts may share the slack.
+    pub fn new(limits: FleetLimits, hosts: usize) -> Self {
+        Self { limits, hosts: hosts.max(1), windows: HashMap::new() }
+    }
+
+    /// Changes how many hosts share the slack.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, group: GroupKey, now: Instant) {
+        let length = self.limits.window;
+        let window = self.windows.entry(group).or_default();
+        window.turn(length, now);
+        window.bucket(length, now).requests += 1;
+        window.requests += 1;
+    }
+
+    /// Takes one extra call, if the budget allows it.
+    pub fn take(&mut self, group: GroupKey, extra_use: ExtraUse, now: Instant) -> bool {
+        let FleetLimits { ratio, slack, window: length } = self.limits;
+        let slack = slack * SLACK_USE / self.hosts as f64;
+        let window = self.windows.entry(group).or_default();
+        window.turn(length, now);
+        let allowed = f64::from(window.requests) * ratio * RATIO_USE + slack;
+        let allowed = match extra_use {
+            ExtraUse::Hedge => allowed * (1.0 - RETRY_RESERVE),
+            ExtraUse::Retry => allowed,
+        };
+        if f64::from(window.extra) + 1.0 > allowed {
+            return false;
+        }
+        window.bucket(length, now).extra += 1;
+        window.extra += 1;
+        true
+    }
+}
+
+/// The fleet's budget as one query uses it.
+pub struct SharedFleetBudget(pub Arc<Mutex<FleetBudget>>);
+
+impl ExtraCalls for SharedFleetBudget {
+    fn first_call(&mut self, leaf: &Leaf, now: Instant) {
+        self.0.lock().unwrap().request(leaf.host.detail.group, now);
+    }
+
+    fn take_hedge(&mut self, slow: &Leaf, now: Instant) -> bool {
+        self.0.lock().unwrap().take(slow.host.detail.group, ExtraUse::Hedge, now)
+    }
+
+    fn take_retry(&mut self, failed: &Leaf, _cause: RetryCause, now: Instant) -> bool {
+        self.0.lock().unwrap().take(failed.host.detail.group, ExtraUse::Retry, now)
+    }
+}
--- /dev/null
+++ b/lib/src/fleet_link.rs
@@ -0,0 +1,224 @@
+//! Exchanges between hosts of the fleet: cards, strikes, and what the platform published.
+//!
+//! HTTP with `rmp-serde` bodies on the address that only hosts of the fleet reach.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::crash_watch::StrikeCount;
+use crate::events::Event;
+use crate::fleet::AgedCard;
+use crate::http_client::HttpCall;
+use crate::http_client::HttpClient;
+use crate::http_client::HttpClientError;
+use crate::ids::Revision;
+use crate::log_event;
+use crate::published::ChangeSet;
+use crate::subscriber::Knowledge;
+use crate::subscription::Source;
+use crate::tier::Tier;
+
+/// Path of an exchange.
+pub const EXCHANGE_PATH: &str = "/fleet/exchange";
+/// Path that answers with published changes.
+pub const CHANGES_PATH: &str = "/fleet/changes";
+
+/// Pause between exchanges.
+const EXCHANGE_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between exchanges of a host that has just started or cannot read the platform.
+const HASTY_PAUSE: Duration = Duration::from_millis(250);
+/// Time after the start in which a host is hasty.
+const HASTY_TIME: Duration = Duration::from_secs(2);
+/// Time allowed for one call.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Silence of the platform after which hosts ask each other for what it published.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
+/// One side of an exchange.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ExchangeMessage {
+    /// The sender's card first, then others that it knows.
+    pub cards: Vec<AgedCard>,
+    /// Strikes against requests.
+    pub strikes: Vec<StrikeCount>,
+    /// Revision up to which the sender knows what was published.
+    pub position: Revision,
+}
+
+/// Asks for published changes.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ChangesRequest {
+    /// The asker knows everything up to this revision.
+    pub after: Revision,
+}
+
+/// Why an exchange failed. Names the step and the peer.
+#[derive(Debug, Error)]
+pub enum FleetLinkError {
+    /// The peer did not answer.
+    #[error("Exchange with {peer} failed")]
+    Call {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        #[source]
+        source: HttpClientError,
+    },
+    /// The peer refused.
+    #[error("Peer {peer} refused an exchange with status {status}")]
+    Refused {
+        /// The peer.
+        peer: SocketAddr,
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The peer's message cannot be read.
+    #[error("Message of {peer} cannot be read")]
+    Unreadable {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        #[source]
+        source: rmp_serde::decode::Error,
+    },
+}
+
+/// Result of an exchange.
+pub type Result<T> = std::result::Result<T, FleetLinkError>;
+
+/// This host's side of the exchanges.
+pub struct FleetLink {
+    knowledge: Arc<Knowledge>,
+    tier: Arc<Tier>,
+    client: HttpClient,
+}
+
+impl FleetLink {
+    /// Makes a link.
+    pub fn new(knowledge: Arc<Knowledge>, tier: Arc<Tier>, client: HttpClient) -> Self {
+        Self { knowledge, tier, client }
+    }
+
+    /// Exchanges with other hosts for as long as the process runs.
+    pub async fn run(self: Arc<Self>) {
+        let started = Instant::now();
+        loop {
+            let peer = self.next_peer();
+            if let Some(peer) = peer
+                && let Err(e) = self.exchange(peer).await
+            {
+                tracing::debug!("{}", crate::daemon::with_sources(&e));
+                self.tier.counters.peer_failures.increment();
+            }
+            self.expire();
+            let is_hasty = started.elapsed() < HASTY_TIME || self.is_blind();
+            let pause = if is_hasty { HASTY_PAUSE } else { EXCHANGE_PAUSE };
+            let pause = pause.mul_f64(rand::rng().random_range(0.8..1.2));
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    fn next_peer(&self) -> Option<SocketAddr> {
+        self.knowledge.fleet.lock().unwrap().next_peer(&mut rand::rng())
+    }
+
+    /// Whether the platform has been silent for so long that other hosts may know more.
+    fn is_blind(&self) -> bool {
+        let outage = self.knowledge.outage.lock().unwrap();
+        let silent = outage.is_failing() && outage.silence(Instant::now()) > SILENCE_LIMIT;
+        drop(outage);
+        silent || !self.knowledge.is_whole()
+    }
+
+    async fn exchange(&self, peer: SocketAddr) -> Result<()> {
+        self.tier.counters.peer_exchanges.increment();
+        let reply: ExchangeMessage = self.call(peer, EXCHANGE_PATH, &self.message()).await?;
+        let their_position = reply.position;
+        self.take(reply);
+        let after = self.knowledge.position();
+        if their_position > after && self.is_blind() {
+            let set: ChangeSet = self.call(peer, CHANGES_PATH, &ChangesRequest { after }).await?;
+            self.knowledge.take(set, Source::Peer, Instant::now());
+        }
+        Ok(())
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &'static str,
+        message: &impl Serialize,
+    ) -> Result<T> {
+        let body = encode(message);
+        self.tier.counters.peer_bytes.add(body.len() as u64);
+        let reply = self.client.call(HttpCall::post(peer, path, body, CALL_LIMIT)).await;
+        let reply = reply.map_err(|source| FleetLinkError::Call { peer, source })?;
+        if reply.status != 200 {
+            return Err(FleetLinkError::Refused { peer, status: reply.status });
+        }
+        self.tier.counters.peer_bytes.add(reply.body.len() as u64);
+        rmp_serde::from_slice(&reply.body)
+            .map_err(|source| FleetLinkError::Unreadable { peer, source })
+    }
+
+    fn message(&self) -> ExchangeMessage {
+        let now = Instant::now();
+        let cards = self.knowledge.fleet.lock().unwrap().cards(&mut rand::rng(), now);
+        let strikes = self.tier.crashes.lock().unwrap().counts(now);
+        ExchangeMessage { cards, strikes, position: self.knowledge.position() }
+    }
+
+    fn take(&self, message: ExchangeMessage) {
+        let now = Instant::now();
+        for strike in message.strikes {
+            self.tier.crashes.lock().unwrap().hear(strike, now);
+        }
+        let learned = self.knowledge.fleet.lock().unwrap().heard(message.cards, now);
+        for host in &learned.joined {
+            log_event!(info, Event::PeerJoined, host = host.as_str());
+        }
+        for host in &learned.leaving {
+            log_event!(info, Event::PeerLeaving, host = host.as_str());
+        }
+        if !learned.joined.is_empty() {
+            self.knowledge.renew_view(now);
+        }
+    }
+
+    fn expire(&self) {
+        let now = Instant::now();
+        let silent = self.knowledge.fleet.lock().unwrap().expire(now);
+        for host in &silent {
+            log_event!(info, Event::PeerSilent, host = host.as_str());
+        }
+        if !silent.is_empty() {
+            self.knowledge.renew_view(now);
+        }
+    }
+
+    /// Answers another host's exchange.
+    pub fn answer_exchange(&self, body: &[u8]) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
+        let message: ExchangeMessage = rmp_serde::from_slice(body)?;
+        self.take(message);
+        Ok(encode(&self.message()))
+    }
+
+    /// Answers another host's question for changes.
+    pub fn answer_changes(&self, body: &[u8]) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
+        let ChangesRequest { after } = rmp_serde::from_slice(body)?;
+        Ok(encode(&self.knowledge.subscription.lock().unwrap().since(after)))
+    }
+}
+
+fn encode(message: &impl Serialize) -> Bytes {
+    rmp_serde::to_vec(message).expect("message types serialise").into()
+}
--- a/lib/src/hosts.rs
+++ b/lib/src/hosts.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::ids::GroupKey;
 use crate::ids::HostName;
 use crate::ids::LeafKey;
 use crate::ids::LeafName;
@@ -74,6 +76,23 @@
     /// Live or leaving.
     #[serde(default)]
     pub state: HostState,
+    /// What the product's own host list does not say.
+    #[serde(skip)]
+    pub detail: LeafDetail,
+}
+
+/// Facts about a leaf that only some platforms publish.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LeafDetail {
+    /// Connections that this host may open itself, where that does not follow from the daemons in
+    /// the host list.
+    pub own_connections: Option<u32>,
+    /// Until when it says that it is slow after its start.
+    pub cold_until: Option<Instant>,
+    /// What it calls itself towards callers that name the leaf that they mean.
+    pub instance: Option<Arc<str>>,
+    /// The replicas whose extra calls are budgeted together.
+    pub group: GroupKey,
 }
 
 /// The host list as published, in JSON.
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 connections to leafs, on `hyper`.
 
-use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -11,21 +11,25 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Request;
+use hyper::Response;
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
 
 use crate::backend::BackendError;
 use crate::backend::BoxFuture;
 use crate::backend::LeafBackend;
 use crate::backend::LeafConnection;
+use crate::backend::Opened;
 use crate::backend::Result;
+use crate::socket;
 
 /// The largest answer that is read, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Time before a peer's idle limit at which a connection is no longer used.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Opens HTTP/1.1 connections.
 #[derive(Debug, Default)]
 pub struct HttpLeafBackend {
@@ -34,40 +38,29 @@
 }
 
 impl LeafBackend for HttpLeafBackend {
-    fn connect(
-        &self,
-        peer: SocketAddr,
-        limit: Duration,
-    ) -> BoxFuture<'_, Result<Box<dyn LeafConnection>>> {
+    fn connect(&self, peer: SocketAddr, limit: Duration) -> BoxFuture<'_, Result<Opened>> {
         Box::pin(async move {
             match tokio::time::timeout(limit, HttpLeafConnection::open(peer, self.local)).await {
-                Ok(opened) => opened.map(|conn| Box::new(conn) as Box<dyn LeafConnection>),
+                Ok(opened) => opened,
                 Err(_) => Err(BackendError::ConnectTimeout { peer, limit }),
             }
         })
     }
 }
 
-async fn connect(peer: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
-    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    if let Some(local) = local.filter(|local| local.is_ipv4() == peer.is_ipv4()) {
-        socket.bind(SocketAddr::new(local, 0))?;
-    }
-    socket.connect(peer).await
-}
-
 struct HttpLeafConnection {
     peer: SocketAddr,
     host: header::HeaderValue,
     sender: http1::SendRequest<Full<Bytes>>,
+    closes_at: Option<Instant>,
 }
 
 impl HttpLeafConnection {
-    async fn open(peer: SocketAddr, local: Option<IpAddr>) -> Result<Self> {
-        let stream = connect(peer, local).await;
+    async fn open(peer: SocketAddr, local: Option<IpAddr>) -> Result<Opened> {
+        let started = Instant::now();
+        let stream = socket::connect(peer, local).await;
         let stream = stream.map_err(|source| BackendError::Connect { peer, source })?;
-        // A failure to set the option costs latency only.
-        let _ = stream.set_nodelay(true);
+        let took = started.elapsed();
         let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| BackendError::NotSent { peer })?;
@@ -76,39 +69,53 @@
             let _ = conn.await;
         });
         let host = header::HeaderValue::try_from(peer.to_string()).expect("an address is ASCII");
-        Ok(Self { peer, host, sender })
+        let conn = Box::new(Self { peer, host, sender, closes_at: None });
+        Ok(Opened { conn, took })
     }
 
-    async fn run(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
+    async fn run(&mut self, req: Request<Bytes>) -> Result<Response<Bytes>> {
         let peer = self.peer;
         self.sender.ready().await.map_err(|_| BackendError::NotSent { peer })?;
-        let req = Request::post(path)
-            .header(header::HOST, self.host.clone())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .expect("constant parts are valid");
+        let mut req = req.map(Full::new);
+        let headers = req.headers_mut();
+        headers.entry(header::HOST).or_insert_with(|| self.host.clone());
         let response = match self.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(e) if e.message().is_some() => return Err(BackendError::NotSent { peer }),
             Err(e) => return Err(BackendError::Broken { peer, source: e.into_error().into() }),
         };
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        match body.collect().await {
-            Ok(body) => Ok(body.to_bytes()),
+        let (head, body) = response.into_parts();
+        let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
             Err(source) if source.is::<LengthLimitError>() => {
-                Err(BackendError::TooLarge { peer, limit: MAX_ANSWER_BYTES })
+                return Err(BackendError::TooLarge { peer, limit: MAX_ANSWER_BYTES });
             }
-            Err(source) => Err(BackendError::Broken { peer, source }),
-        }
+            Err(source) => return Err(BackendError::Broken { peer, source }),
+        };
+        self.closes_at = keep_alive(&head.headers).map(|idle| Instant::now() + idle);
+        Ok(Response::from_parts(head, body))
     }
 }
 
+/// Returns how long the peer keeps an idle connection, less a margin for what is on its way.
+fn keep_alive(headers: &header::HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut fields = text.split(',').filter_map(|field| field.trim().split_once('='));
+    let (_, seconds) = fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    let idle = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(idle.saturating_sub(KEEP_ALIVE_MARGIN))
+}
+
 impl LeafConnection for HttpLeafConnection {
-    fn exchange<'a>(&'a mut self, path: &'static str, body: Bytes) -> BoxFuture<'a, Result<Bytes>> {
-        Box::pin(self.run(path, body))
+    fn exchange<'a>(
+        &'a mut self,
+        req: Request<Bytes>,
+    ) -> BoxFuture<'a, Result<Response<Bytes>>> {
+        Box::pin(self.run(req))
     }
 
-    fn is_usable(&self) -> bool {
-        !self.sender.is_closed()
+    fn is_usable(&self, now: Instant) -> bool {
+        // A connection that still writes the rest of a request is not ready.
+        self.sender.is_ready() && self.closes_at.is_none_or(|at| now < at)
     }
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -129,6 +129,10 @@
     /// Index of a leaf in this process's leaf arena. Stays valid for the life of the process.
     LeafKey(u32)
 );
+number_type!(
+    /// Index of a group of leafs that hold the same data, in this process's arena of groups.
+    GroupKey(u32)
+);
 number_type!(
     /// Number of a shard within one version of an index.
     ShardNo(u16)
--- a/lib/src/latency.rs
+++ b/lib/src/latency.rs
@@ -12,6 +12,12 @@
 /// Longest latency recorded, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
 
+/// Ratio between the upper quartile and the median, raised to this power, that makes a call slow:
+/// about the 97th percentile of a log-normal distribution.
+const SLOW_SPREADS: f64 = 2.8;
+/// Largest ratio between the upper quartile and the median that is believed.
+const MAX_SPREAD: f64 = 1.8;
+
 /// Latencies over the present and the previous window.
 #[derive(Debug)]
 pub struct LatencyTracker {
@@ -58,14 +64,34 @@
         {
             return Some(value);
         }
-        let trusted =
-            if self.previous.len() >= MIN_SAMPLES { &self.previous } else { &self.present };
-        if trusted.len() < MIN_SAMPLES {
-            return None;
-        }
-        let value = Duration::from_micros(trusted.value_at_quantile(quantile));
+        let value = Duration::from_micros(self.trusted()?.value_at_quantile(quantile));
         self.cached = Some((quantile, value));
         self.until_refresh = REFRESH_SAMPLES;
         Some(value)
     }
+
+    /// Returns the median, or nothing while there are too few samples.
+    pub fn typical(&self) -> Option<Duration> {
+        Some(median_of(self.trusted()?))
+    }
+
+    /// Returns the latency above which a call counts as slow. It is worked out from the middle half
+    /// of the samples, so that a quarter of slow leafs does not move it.
+    pub fn slow(&self) -> Option<Duration> {
+        let trusted = self.trusted()?;
+        let median = median_of(trusted);
+        let upper = Duration::from_micros(trusted.value_at_quantile(0.75));
+        let spread = upper.as_secs_f64() / median.as_secs_f64().max(1e-6);
+        Some(median.mul_f64(spread.clamp(1.0, MAX_SPREAD).powf(SLOW_SPREADS)))
+    }
+
+    fn trusted(&self) -> Option<&Histogram<u32>> {
+        let trusted =
+            if self.previous.len() >= MIN_SAMPLES { &self.previous } else { &self.present };
+        (trusted.len() >= MIN_SAMPLES).then_some(trusted)
+    }
+}
+
+fn median_of(samples: &Histogram<u32>) -> Duration {
+    Duration::from_micros(samples.value_at_quantile(0.5))
 }
--- a/lib/src/layout.rs
+++ b/lib/src/layout.rs
@@ -104,6 +104,20 @@
         Ok(Self { index: index.clone(), version: raw.version, first_replica, replicas })
     }
 
+    /// Makes a version from the replicas of each shard.
+    pub fn of_replicas<'a>(
+        index: IndexName,
+        version: IndexVersion,
+        shards: impl IntoIterator<Item = &'a [LeafKey]>,
+    ) -> Self {
+        let (mut first_replica, mut replicas) = (vec![0], Vec::new());
+        for shard in shards {
+            replicas.extend_from_slice(shard);
+            first_replica.push(replicas.len() as u32);
+        }
+        Self { index, version, first_replica, replicas }
+    }
+
     /// Returns the number of shards.
     pub fn shard_count(&self) -> usize {
         self.first_replica.len() - 1
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -14,6 +14,7 @@
 use crate::belief::Usability;
 use crate::budget::ExtraLoadBudget;
 use crate::catalogue::Class;
+use crate::distance::Distances;
 use crate::gate::Gate;
 use crate::hosts::HostList;
 use crate::hosts::HostState;
@@ -31,6 +32,10 @@
 const LEAF_RETRY_SHARE: f64 = 0.2;
 /// Cost added to a replica in another zone, so that near equals stay local.
 const REMOTE_ZONE_COST: Duration = Duration::from_millis(1);
+/// Weight of own calls in flight at a leaf against its slots.
+const LOAD_WEIGHT: f64 = 0.5;
+/// Cost of a leaf that was tried for the same shard already.
+const TRIED_COST: Duration = Duration::from_secs(60);
 
 /// Wakes a call that waits for a slot. Dropping it refuses the call.
 pub type SlotToken = oneshot::Sender<()>;
@@ -74,6 +79,7 @@
     pub fn new(key: LeafKey, host: Arc<LeafHost>, route: Route) -> Self {
         let mut belief = Belief::default();
         belief.listed(host.state == HostState::Leaving);
+        belief.cold(host.detail.cold_until);
         let pool = Pool::new(route.connections());
         let gate = Gate::new(window(&host, &route));
         let retries = ExtraLoadBudget::for_leaf();
@@ -97,6 +103,7 @@
         state.gate.set_max_window(window(host, &route));
         state.route = route;
         state.belief.listed(host.state == HostState::Leaving);
+        state.belief.cold(host.detail.cold_until);
     }
 
     /// Earns retry credit for a call made to this leaf.
@@ -150,28 +157,51 @@
         self.leafs.iter().flatten()
     }
 
-    /// Picks the replica with the least expected time, among local and usable ones if possible.
+    /// Ranks the replicas by expected time, usable ones first.
     ///
     /// Ejection is ignored when it would leave less than half of the replicas.
-    pub fn choose(&self, zone: &Zone, class: Class, choosing: Choosing<'_>) -> Option<Choice> {
-        let mut best: Option<Candidate> = None;
-        let mut ejected_best: Option<Candidate> = None;
-        let (mut usable, mut ejected) = (0, 0);
+    pub fn rank(&self, zone: &Zone, class: Class, choosing: Choosing<'_>) -> Ranked {
+        let mut sound = Best::default();
+        let mut ejected = Best::default();
         for &key in choosing.replicas {
             let Some(leaf) = self.get(key) else { continue };
             let Some(candidate) = choosing.candidate(leaf, zone, class) else { continue };
-            if candidate.ejected {
-                ejected += 1;
-                keep_cheaper(&mut ejected_best, candidate);
-            } else {
-                usable += 1;
-                keep_cheaper(&mut best, candidate);
-            }
+            if candidate.ejected { ejected.add(candidate) } else { sound.add(candidate) }
         }
-        if usable == 0 && choosing.purpose != Purpose::Hedge || ejected > usable + 1 {
-            best = best.or(ejected_best);
+        let is_hedge = choosing.purpose == Purpose::Hedge;
+        let tries_ejected = sound.count == 0 && !is_hedge || ejected.count > sound.count + 1;
+        let best = sound.first.or(ejected.first.filter(|_| tries_ejected));
+        Ranked {
+            best: best.map(|c| Choice { leaf: c.leaf, wait: c.wait, cost: c.cost }),
+            other_cost: sound.second.map(|c| c.cost),
+        }
+    }
+}
+
+/// The result of ranking.
+#[derive(Clone, Copy, Debug)]
+pub struct Ranked {
+    /// The best replica.
+    pub best: Option<Choice>,
+    /// What the next best one costs.
+    pub other_cost: Option<Duration>,
+}
+
+#[derive(Default)]
+struct Best {
+    first: Option<Candidate>,
+    second: Option<Candidate>,
+    count: usize,
+}
+
+impl Best {
+    fn add(&mut self, candidate: Candidate) {
+        self.count += 1;
+        if self.first.is_none_or(|first| candidate.cost < first.cost) {
+            self.second = self.first.replace(candidate);
+        } else if self.second.is_none_or(|second| candidate.cost < second.cost) {
+            self.second = Some(candidate);
         }
-        best.map(|c| Choice { leaf: c.leaf, wait: c.wait })
     }
 }
 
@@ -186,6 +216,10 @@
     pub purpose: Purpose,
     /// Calls that were given to each leaf and are not counted in its gate yet.
     pub picked: &'a HashMap<LeafKey, u32>,
+    /// Time that a sound leaf works on a call.
+    pub typical_work: Duration,
+    /// Round trips to the leafs' zones.
+    pub distances: &'a Distances,
     /// The present time.
     pub now: Instant,
 }
@@ -198,12 +232,6 @@
     ejected: bool,
 }
 
-fn keep_cheaper(best: &mut Option<Candidate>, candidate: Candidate) {
-    if best.is_none_or(|b| candidate.cost < b.cost) {
-        *best = Some(candidate);
-    }
-}
-
 impl Choosing<'_> {
     fn candidate(&self, leaf: &Leaf, zone: &Zone, class: Class) -> Option<Candidate> {
         let was_tried = self.tried.contains(&leaf.key);
@@ -220,14 +248,15 @@
         let picked = self.picked.get(&leaf.key).copied().unwrap_or(0);
         let queueing = state.gate.wait(class, service, picked);
         let wait = queueing + service;
-        let load = f64::from(state.gate.in_flight() + picked) + 1.0;
-        let mut cost = queueing + state.belief.cost().mul_f64(load);
-        cost = cost.mul_f64(rand::rng().random_range(0.9..1.1));
+        let load = f64::from(state.gate.in_flight() + picked) / f64::from(leaf.host.slots);
+        let typical = self.typical_work + self.distances.of(&leaf.host.zone);
+        let work = self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
+        let mut cost = queueing + state.belief.cost(typical, self.now) + work;
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
         }
         if was_tried {
-            cost += Duration::from_secs(60);
+            cost += TRIED_COST;
         }
         let ejected = usability == Usability::Ejected
             || (state.belief.is_on_probe() && state.gate.in_flight() > 0);
--- a/lib/src/leaf_protocol.rs
+++ b/lib/src/leaf_protocol.rs
@@ -83,12 +83,21 @@
     Cancelled,
     /// The call ran and failed.
     Failed,
+    /// Another leaf answers at this address; the call has not run.
+    Misdirected,
 }
 
 impl LeafStatus {
     /// Whether this status proves that the call has not run.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Self::Shed | Self::Draining | Self::VersionUnavailable | Self::Expired)
+        matches!(
+            self,
+            Self::Shed
+                | Self::Draining
+                | Self::VersionUnavailable
+                | Self::Expired
+                | Self::Misdirected
+        )
     }
 }
 
@@ -127,3 +136,32 @@
         serde_json::from_slice(body)
     }
 }
+
+/// What a leaf made of a call, whatever its protocol. `P` is what it contributes.
+#[derive(Clone, Debug)]
+pub struct LeafReply<P> {
+    /// The call that is answered.
+    pub call: CallId,
+    /// What became of it.
+    pub status: LeafStatus,
+    /// Processor time spent, if the leaf reports it, in microseconds.
+    pub effort_us: Option<u64>,
+    /// Calls that wait in the leaf; a hint only.
+    pub queued: u32,
+    /// What the leaf sent. A failure may have a payload too.
+    pub payload: P,
+}
+
+impl From<LeafAnswer> for LeafReply<Vec<Hit>> {
+    fn from(answer: LeafAnswer) -> Self {
+        let LeafAnswer { call, status, effort_us, queued, hits } = answer;
+        Self { call, status, effort_us: Some(effort_us), queued, payload: hits }
+    }
+}
+
+impl From<LeafReply<Vec<Hit>>> for LeafAnswer {
+    fn from(reply: LeafReply<Vec<Hit>>) -> Self {
+        let LeafReply { call, status, effort_us, queued, payload } = reply;
+        Self { call, status, effort_us: effort_us.unwrap_or_default(), queued, hits: payload }
+    }
+}
--- /dev/null
+++ b/lib/src/opaque_front.rs
@@ -0,0 +1,333 @@
+//! Answers opaque requests: finds the entry, pins the version, drives the query machine.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::answer::OutcomeKind;
+use crate::answer::Reason;
+use crate::call_context::ANY_IDLE_TIME;
+use crate::call_context::CallContext;
+use crate::catalogue::Entry;
+use crate::driver::Driver;
+use crate::driver::Pace;
+use crate::driver::Step;
+use crate::events::Event;
+use crate::fleet_budget::FleetBudget;
+use crate::fleet_budget::SharedFleetBudget;
+use crate::ids::Attempt;
+use crate::ids::EntryName;
+use crate::ids::GroupKey;
+use crate::layout::IndexSnapshot;
+use crate::leaf_codec::LeafCodec;
+use crate::log_event;
+use crate::metrics::Metrics;
+use crate::opaque::LeafResponse;
+use crate::opaque::MergedAnswer;
+use crate::opaque::OpaqueAnswer;
+use crate::opaque::OpaqueRequest;
+use crate::opaque::OwnAnswer;
+use crate::opaque_catalogue::OpaqueEntry;
+use crate::opaque_catalogue::Target;
+use crate::opaque_view::OpaqueView;
+use crate::opaque_view::ViewCell;
+use crate::plan::QueryPlan;
+use crate::plan::Suspicion;
+use crate::query::Query;
+use crate::query_outcome::Outcome;
+use crate::records;
+use crate::tier::Tier;
+use crate::weights::Dealer;
+
+/// Work expected of a call before any was seen.
+const UNKNOWN_WORK: Duration = Duration::from_millis(8);
+/// Time that an answer takes from here to the caller, kept free before the goal.
+const RETURN_TIME: Duration = Duration::from_millis(6);
+/// Longest idle time of a connection for a request that may not run twice: a leaf that closes idle
+/// connections could do so just as the request arrives.
+const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time after which a refused request is worth another try on another host.
+const RETRY_SOON: Duration = Duration::from_millis(40);
+/// Time after which leafs that were lost may be back.
+const RETRY_LATER: Duration = Duration::from_millis(250);
+
+/// Makes the codec that writes one request's calls.
+pub trait CodecMaker: Send + Sync {
+    /// Makes it.
+    fn make(&self, req: Arc<OpaqueRequest>) -> Arc<dyn LeafCodec<LeafResponse>>;
+}
+
+/// Answers requests on the shared tables.
+pub struct OpaqueFront {
+    tier: Arc<Tier>,
+    views: Arc<ViewCell>,
+    codecs: Box<dyn CodecMaker>,
+    budget: Arc<Mutex<FleetBudget>>,
+    metrics: Arc<Metrics>,
+    dealers: Mutex<HashMap<EntryName, EntryDealer>>,
+}
+
+struct EntryDealer {
+    target: Target,
+    dealer: Dealer,
+}
+
+impl OpaqueFront {
+    /// Makes a front on shared tables.
+    pub fn new(
+        tier: Arc<Tier>,
+        views: Arc<ViewCell>,
+        codecs: Box<dyn CodecMaker>,
+        budget: Arc<Mutex<FleetBudget>>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { tier, views, codecs, budget, metrics, dealers: Mutex::default() }
+    }
+
+    /// Answers one request. The leafs are told when the returned future is dropped.
+    pub async fn answer(&self, req: OpaqueRequest, arrived: Instant) -> OpaqueAnswer {
+        self.tier.counters.queries.increment();
+        let view = self.views.get();
+        let req = Arc::new(req);
+        match self.admit(&req, &view, arrived) {
+            Ok(entry) => self.run(req, view, entry, arrived).await,
+            Err(own) => {
+                self.tier.counters.not_run.increment();
+                log_event!(
+                    info,
+                    Event::RequestRefused,
+                    request = req.id.to_str().unwrap_or_default(),
+                    status = own.status.as_u16(),
+                    cause = &*own.message,
+                    version = view.catalogue.as_ref().map_or(0, |c| c.version.0)
+                );
+                OpaqueAnswer::Own(own)
+            }
+        }
+    }
+
+    fn admit(
+        &self,
+        req: &OpaqueRequest,
+        view: &OpaqueView,
+        now: Instant,
+    ) -> Result<Arc<OpaqueEntry>, OwnAnswer> {
+        let Some(catalogue) = &view.catalogue else {
+            return Err(OwnAnswer::refused(jittered(RETRY_SOON), "No configuration is known yet"));
+        };
+        let path = req.path.split('?').next().unwrap_or_default();
+        let Some(entry) = catalogue.find(&req.host, path) else {
+            let message = format!("No entry for host \"{}\" and path \"{path}\"", req.host);
+            return Err(OwnAnswer::new(StatusCode::NOT_FOUND, message));
+        };
+        if self.tier.crashes.lock().unwrap().is_condemned(req.fingerprint(), now) {
+            let message = "The request has crashed several leafs";
+            return Err(OwnAnswer::refused(jittered(RETRY_LATER), message));
+        }
+        Ok(entry.clone())
+    }
+
+    async fn run(
+        &self,
+        req: Arc<OpaqueRequest>,
+        view: Arc<OpaqueView>,
+        spec: Arc<OpaqueEntry>,
+        arrived: Instant,
+    ) -> OpaqueAnswer {
+        let entry = &spec.entry;
+        let deadline = arrived + req.patience.map_or(entry.deadline, |p| p.min(entry.deadline));
+        let snapshot = self.pin(&spec, &view);
+        let plan = QueryPlan {
+            id: self.tier.next_query_id(),
+            entry: entry.clone(),
+            snapshot: Arc::new(snapshot),
+            hits: spec.top,
+            deadline,
+            goal_at: self.goal_at(entry, arrived),
+            first_attempt: Attempt(0),
+            suspicion: Suspicion::Clear,
+        };
+        let mut driver = self.driver(&req, &view, entry, plan, deadline);
+        let mut gone = std::pin::pin!(std::future::pending::<()>());
+        driver.start();
+        while driver.step(gone.as_mut()).await == Step::Open {}
+        let outcome = driver.query.take_outcome();
+        self.tell(&req, &view, &spec, outcome, arrived)
+    }
+
+    fn goal_at(&self, entry: &Entry, arrived: Instant) -> Option<Instant> {
+        entry.goal.map(|goal| arrived + goal.saturating_sub(RETURN_TIME))
+    }
+
+    /// Pins the leafs of the version in force.
+    fn pin(&self, spec: &OpaqueEntry, view: &OpaqueView) -> IndexSnapshot {
+        let picked;
+        let groups: &[GroupKey] = match &spec.target {
+            Target::All(groups) => groups,
+            Target::One(_) => {
+                picked = self.deal(spec);
+                std::slice::from_ref(&picked)
+            }
+        };
+        let version = view.catalogue.as_ref().map(|c| c.version).unwrap_or_default();
+        let shards = groups.iter().map(|&group| view.group(group));
+        IndexSnapshot::of_replicas(spec.entry.index.clone(), version, shards)
+    }
+
+    fn deal(&self, spec: &OpaqueEntry) -> GroupKey {
+        let Target::One(weights) = &spec.target else { return GroupKey::default() };
+        if let [only] = weights[..] {
+            return only.group;
+        }
+        let mut dealers = self.dealers.lock().unwrap();
+        let make = || EntryDealer {
+            target: spec.target.clone(),
+            dealer: Dealer::new(weights.iter().map(|w| w.weight).collect(), rand::random()),
+        };
+        let known = dealers.entry(spec.entry.name.clone()).or_insert_with(make);
+        if known.target != spec.target {
+            *known = make();
+        }
+        weights[known.dealer.pick()].group
+    }
+
+    fn driver(
+        &self,
+        req: &Arc<OpaqueRequest>,
+        view: &OpaqueView,
+        entry: &Arc<Entry>,
+        plan: QueryPlan,
+        deadline: Instant,
+    ) -> Driver<LeafResponse> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let latency = self.tier.latency(&entry.index, Instant::now());
+        let pace = {
+            let latency = latency.lock().unwrap();
+            Pace {
+                typical_work: latency.typical().unwrap_or(UNKNOWN_WORK),
+                slow_work: latency.slow(),
+                goal_at: plan.goal_at,
+            }
+        };
+        let cx = Arc::new(CallContext {
+            tier: self.tier.clone(),
+            codec: self.codecs.make(req.clone()),
+            class: entry.class,
+            relayed: None,
+            suspect: Some(req.fingerprint()),
+            max_idle: if entry.idempotent { ANY_IDLE_TIME } else { FRESH_IDLE_TIME },
+            charge: None,
+            latency,
+            deadline,
+            events: tx,
+        });
+        let budget = Box::new(SharedFleetBudget(self.budget.clone()));
+        Driver::new(Query::new(plan), view.leafs.clone(), pace, budget, cx, rx)
+    }
+
+    fn tell(
+        &self,
+        req: &OpaqueRequest,
+        view: &OpaqueView,
+        spec: &OpaqueEntry,
+        outcome: Outcome<LeafResponse>,
+        arrived: Instant,
+    ) -> OpaqueAnswer {
+        let elapsed = arrived.elapsed();
+        let (kind, reason) = (outcome.kind, outcome.reason);
+        let (shards, merged, calls) = (outcome.shards, outcome.parts.len(), outcome.calls);
+        let answer = answer_of(spec, outcome);
+        let counters = &self.tier.counters;
+        match kind {
+            OutcomeKind::Complete => counters.complete.increment(),
+            OutcomeKind::Partial => counters.partial.increment(),
+            OutcomeKind::NotRun => counters.not_run.increment(),
+            OutcomeKind::Unknown => counters.unknown.increment(),
+        }
+        let status = status_of(&answer);
+        self.metrics.answered(spec.entry.name.as_str(), kind, elapsed);
+        log_event!(
+            info,
+            Event::RequestAnswered,
+            request = req.id.to_str().unwrap_or_default(),
+            entry = spec.entry.name.as_str(),
+            version = view.catalogue.as_ref().map_or(0, |c| c.version.0),
+            position = view.position.0,
+            view_age_ms = view.made_at.elapsed().as_millis() as u64,
+            outcome = ?kind,
+            reason = ?reason,
+            status = status.as_u16(),
+            shards,
+            merged,
+            calls,
+            elapsed_ms = elapsed.as_millis() as u64
+        );
+        answer
+    }
+}
+
+fn status_of(answer: &OpaqueAnswer) -> StatusCode {
+    match answer {
+        OpaqueAnswer::Passed(response) => response.status,
+        OpaqueAnswer::Merged(_) => StatusCode::OK,
+        OpaqueAnswer::Own(own) => own.status,
+    }
+}
+
+fn answer_of(spec: &OpaqueEntry, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
+    let is_merged = matches!(spec.target, Target::All(_));
+    match outcome.kind {
+        OutcomeKind::Complete | OutcomeKind::Partial if is_merged => merged(spec, outcome),
+        OutcomeKind::Complete | OutcomeKind::Partial => {
+            let part = outcome.parts.into_iter().next();
+            part.map_or_else(unanswered, |(_, response)| OpaqueAnswer::Passed(response))
+        }
+        OutcomeKind::NotRun => OpaqueAnswer::Own(refusal(&outcome)),
+        OutcomeKind::Unknown => match outcome.failure {
+            Some(failure) if !is_merged => OpaqueAnswer::Passed(failure),
+            _ if outcome.reason == Reason::DeadlineExceeded => {
+                let message = "No answer came in time";
+                OpaqueAnswer::Own(OwnAnswer::new(StatusCode::GATEWAY_TIMEOUT, message))
+            }
+            _ => unanswered(),
+        },
+    }
+}
+
+fn unanswered() -> OpaqueAnswer {
+    let message = "Too few leafs answered; the request may have run";
+    OpaqueAnswer::Own(OwnAnswer::new(StatusCode::BAD_GATEWAY, message))
+}
+
+fn merged(spec: &OpaqueEntry, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
+    let bodies = outcome.parts.iter().map(|(_, response)| &response.body);
+    let records = records::greatest(bodies, spec.top);
+    let missing = outcome.shards - outcome.parts.len();
+    let signatures = outcome.parts.into_iter().filter_map(|(_, r)| r.signature).collect();
+    OpaqueAnswer::Merged(MergedAnswer { records, signatures, missing })
+}
+
+/// Says truly that a request has not run, and when it may run.
+fn refusal(outcome: &Outcome<LeafResponse>) -> OwnAnswer {
+    match outcome.reason {
+        Reason::Overloaded => {
+            let wait = outcome.excess_wait.unwrap_or(RETRY_LATER);
+            OwnAnswer::refused(jittered(wait), "The queues in front of the leafs are too long")
+        }
+        Reason::DeadlineExceeded => {
+            OwnAnswer::refused(jittered(RETRY_SOON), "No leaf could be reached in time")
+        }
+        _ => OwnAnswer::refused(jittered(RETRY_LATER), "Too few leafs can be reached"),
+    }
+}
+
+/// Spreads the time of a resend, so that refused requests do not come back all at once.
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::rng().random_range(0.75..1.5))
+}
--- /dev/null
+++ b/lib/src/outage.rs
@@ -0,0 +1,72 @@
+//! Whether the platform can be read, and what its silence means for what it said last.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::leaf_feed::LAPSE_GRACE;
+
+/// Time without an answer after which the platform counts as having been away.
+const MIN_OUTAGE: Duration = Duration::from_secs(1);
+
+/// What an answer or its failure changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// Nothing.
+    Same,
+    /// The platform is silent from now on.
+    Lost,
+    /// The platform can be read again, after this time.
+    Regained(Duration),
+}
+
+/// The platform's state as one reader sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    heard_at: Instant,
+    failing: bool,
+    bridged_until: Option<Instant>,
+}
+
+impl Outage {
+    /// Starts when the process does.
+    pub fn new(now: Instant) -> Self {
+        Self { heard_at: now, failing: false, bridged_until: None }
+    }
+
+    /// Records an answer.
+    pub fn heard(&mut self, now: Instant) -> Turn {
+        let away = now.saturating_duration_since(self.heard_at);
+        let was_failing = std::mem::take(&mut self.failing);
+        self.heard_at = now;
+        if !was_failing {
+            return Turn::Same;
+        }
+        if away >= MIN_OUTAGE {
+            self.bridged_until = Some(now + LAPSE_GRACE);
+        }
+        Turn::Regained(away)
+    }
+
+    /// Records that no answer came.
+    pub fn failed(&mut self) -> Turn {
+        if std::mem::replace(&mut self.failing, true) { Turn::Same } else { Turn::Lost }
+    }
+
+    /// Whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
+    /// Returns the time since the last answer.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard_at)
+    }
+
+    /// Returns until when leafs that lapsed while the platform was away stay usable.
+    pub fn bridged_until(&self, now: Instant) -> Option<Instant> {
+        if self.failing {
+            return Some(now + LAPSE_GRACE);
+        }
+        self.bridged_until.filter(|&until| now < until)
+    }
+}
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -22,6 +22,17 @@
     Retry,
 }
 
+/// Why a call is made once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryCause {
+    /// No byte of the failed call was written.
+    NotSent,
+    /// The leaf refused the failed call before it ran.
+    Rejected,
+    /// The failed call may have run.
+    MayHaveRun,
+}
+
 /// A replica picked for a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -29,6 +40,8 @@
     pub leaf: LeafKey,
     /// Expected time until the leaf answers, queueing included.
     pub wait: Duration,
+    /// Expected time and penalties, by which replicas are compared.
+    pub cost: Duration,
 }
 
 /// Decisions that depend on knowledge shared by all queries.
@@ -42,15 +55,15 @@
         now: Instant,
     ) -> Option<Choice>;
 
-    /// Takes one hedge from the entry's budget.
-    fn take_hedge(&mut self, now: Instant) -> bool;
+    /// Takes one hedge of a call to `slow` from the budget of extra calls.
+    fn take_hedge(&mut self, slow: LeafKey, now: Instant) -> bool;
 
-    /// Takes one retry from the budget of the leaf that failed and, where the failed call may have
-    /// run, from the budget of the entry.
-    fn take_retry(&mut self, failed: LeafKey, may_have_run: bool, now: Instant) -> bool;
+    /// Takes one retry from the budget of the leaf that failed and, where the failed call has load
+    /// behind it, from the budget of extra calls.
+    fn take_retry(&mut self, failed: LeafKey, cause: RetryCause, now: Instant) -> bool;
 
-    /// Returns how long a call may take, from its write on, before it is hedged.
-    fn hedge_delay(&self) -> Option<Duration>;
+    /// Returns how long a call to a leaf may take, from its write on, before it is hedged.
+    fn hedge_delay(&self, leaf: LeafKey) -> Option<Duration>;
 
     /// Returns when a byte of the call may first have been written.
     fn written_at(&self, attempt: Attempt) -> Option<Instant>;
@@ -116,6 +129,8 @@
     pub hits: usize,
     /// When the answer is due.
     pub deadline: Instant,
+    /// When a useful partial answer is better than a later whole one.
+    pub goal_at: Option<Instant>,
     /// The first attempt number to use; higher than those of an earlier start of the same query.
     pub first_attempt: Attempt,
     /// Suspicion against the request's fingerprint at the start.
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -3,6 +3,8 @@
 //! Invariant: connections open at once never exceed the limit in force when they were opened.
 
 use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::backend::LeafConnection;
 
@@ -13,7 +15,10 @@
     limit: u32,
 }
 
-struct IdleConnection(Box<dyn LeafConnection>);
+struct IdleConnection {
+    conn: Box<dyn LeafConnection>,
+    since: Instant,
+}
 
 impl std::fmt::Debug for IdleConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -52,11 +57,12 @@
         }
     }
 
-    /// Takes an idle connection, or leave to open one.
-    pub fn acquire(&self) -> Acquired {
+    /// Takes the connection that was used last, if it was not idle for longer than `max_idle`, or
+    /// leave to open one.
+    pub fn acquire(&self, max_idle: Duration, now: Instant) -> Acquired {
         let mut state = self.state.lock().unwrap();
-        while let Some(IdleConnection(conn)) = state.idle.pop() {
-            if conn.is_usable() {
+        while let Some(IdleConnection { conn, since }) = state.idle.pop() {
+            if conn.is_usable(now) && now.saturating_duration_since(since) <= max_idle {
                 return Acquired::Idle(conn);
             }
             state.open -= 1;
@@ -70,15 +76,25 @@
     }
 
     /// Gives back a connection whose exchange finished cleanly.
-    pub fn put_back(&self, conn: Box<dyn LeafConnection>) {
+    pub fn put_back(&self, conn: Box<dyn LeafConnection>, now: Instant) {
         let mut state = self.state.lock().unwrap();
-        if state.open > state.limit || !conn.is_usable() {
+        if state.open > state.limit || !conn.is_usable(now) {
             state.open -= 1;
         } else {
-            state.idle.push(IdleConnection(conn));
+            state.idle.push(IdleConnection { conn, since: now });
         }
     }
 
+    /// Closes connections that were idle for longer than `max_idle` or cannot be used again.
+    pub fn close_idle(&self, max_idle: Duration, now: Instant) {
+        let mut state = self.state.lock().unwrap();
+        let before = state.idle.len();
+        state.idle.retain(|idle| {
+            idle.conn.is_usable(now) && now.saturating_duration_since(idle.since) <= max_idle
+        });
+        state.open -= (before - state.idle.len()) as u32;
+    }
+
     /// Records that a connection was closed or could not be opened.
     pub fn closed(&self) {
         self.state.lock().unwrap().open -= 1;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -36,6 +36,16 @@
         hasher.update(params.as_bytes());
         Self(hasher.digest())
     }
+
+    /// Computes the fingerprint of a request that consists of these fields.
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest())
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/lib/src/query_hedge.rs
@@ -0,0 +1,68 @@
+//! Second calls of a query beside calls that are slow.
+
+use std::time::Instant;
+
+use crate::ids::Attempt;
+use crate::ids::LeafKey;
+use crate::ids::ShardNo;
+use crate::plan::Actions;
+use crate::plan::Policy;
+use crate::plan::Purpose;
+use crate::query::Query;
+
+impl<P> Query<P> {
+    pub(crate) fn hedge_time(
+        &self,
+        leaf: LeafKey,
+        now: Instant,
+        policy: &dyn Policy,
+    ) -> Option<Instant> {
+        if !self.plan.entry.idempotent || self.plan.entry.limits.extra_load == 0.0 {
+            return None;
+        }
+        policy.hedge_delay(leaf).map(|delay| now + delay)
+    }
+
+    /// Sends a slow call once more. A call that still waits for a slot is moved instead, which is no
+    /// extra load; one that was written late gets its full delay first. A hedge that is slow itself is
+    /// hedged again: over hundreds of shards, two stragglers in a row are no rare thing.
+    pub(crate) fn hedge(
+        &mut self,
+        shard: ShardNo,
+        now: Instant,
+        policy: &mut dyn Policy,
+        out: &mut Actions,
+    ) {
+        let hedge_at = self.shard(shard).hedge_at.take();
+        let Some(slow) = self.newest_live_call(shard) else { return };
+        let Some(slow_leaf) = self.record(slow).map(|record| record.leaf) else { return };
+        let due_at = match (policy.written_at(slow), policy.hedge_delay(slow_leaf)) {
+            (Some(written_at), Some(delay)) => Some(written_at + delay),
+            _ => hedge_at,
+        };
+        if due_at.is_some_and(|at| at > now) {
+            self.shard(shard).hedge_at = due_at;
+            return;
+        }
+        self.shard(shard).hedge_at = self.hedge_time(slow_leaf, now, policy);
+        let snapshot = self.plan.snapshot.clone();
+        let tried = &self.shard(shard).tried;
+        let choice = policy.choose(snapshot.replicas(shard), tried, Purpose::Hedge, now);
+        let Some(choice) = choice else { return };
+        if policy.withdraw(slow) {
+            self.close_call(slow);
+            self.shard(shard).unsent += 1;
+            self.send(shard, choice.leaf, Purpose::First, out);
+        } else if policy.take_hedge(slow_leaf, now) {
+            self.send(shard, choice.leaf, Purpose::Hedge, out);
+        }
+    }
+
+    fn newest_live_call(&mut self, shard: ShardNo) -> Option<Attempt> {
+        let state = self.shard(shard);
+        if state.merged || state.given_up || !self.has_attempts_left(shard) {
+            return None;
+        }
+        self.live_calls(shard).last()
+    }
+}
--- /dev/null
+++ b/lib/src/query_outcome.rs
@@ -0,0 +1,131 @@
+//! What the caller of a query is told: its outcome, its coverage, and what the leafs contributed.
+
+use std::time::Duration;
+
+use crate::answer::Coverage;
+use crate::answer::OutcomeKind;
+use crate::answer::QueryAnswer;
+use crate::answer::Reason;
+use crate::answer::Refusal;
+use crate::ids::IndexVersion;
+use crate::ids::ShardNo;
+use crate::leaf_protocol::Hit;
+use crate::query::Query;
+
+/// The end of a query, before it is put in the words of an interface.
+#[derive(Debug)]
+pub struct Outcome<P> {
+    /// What became of the query.
+    pub kind: OutcomeKind,
+    /// Why it ended where it did.
+    pub reason: Reason,
+    /// Number of shards of the pinned version.
+    pub shards: usize,
+    /// The pinned version.
+    pub version: IndexVersion,
+    /// What each contributing shard sent, in the order of arrival.
+    pub parts: Vec<(ShardNo, P)>,
+    /// What the last leaf that failed sent.
+    pub failure: Option<P>,
+    /// Calls made, second ones included.
+    pub calls: usize,
+    /// How much too long the queues in front of the leafs were.
+    pub excess_wait: Option<Duration>,
+}
+
+impl<P> Query<P> {
+    /// Returns the outcome and takes the payloads. Cancelled calls that were not withdrawn count as
+    /// possibly run.
+    pub fn take_outcome(&mut self) -> Outcome<P> {
+        self.may_have_run |= self.live > 0;
+        Outcome {
+            kind: self.outcome(),
+            reason: self.over.unwrap_or(Reason::DeadlineExceeded),
+            shards: self.shards.len(),
+            version: self.plan.snapshot.version,
+            parts: std::mem::take(&mut self.parts),
+            failure: self.failure.take(),
+            calls: self.calls.len(),
+            excess_wait: self.excess_wait,
+        }
+    }
+
+    fn outcome(&self) -> OutcomeKind {
+        let merged = self.parts.len();
+        if merged == self.shards.len() {
+            OutcomeKind::Complete
+        } else if merged > 0 && merged >= self.needed() {
+            OutcomeKind::Partial
+        } else if self.may_have_run {
+            OutcomeKind::Unknown
+        } else {
+            OutcomeKind::NotRun
+        }
+    }
+
+    fn coverage(&self) -> Coverage {
+        let (contributed, missing) =
+            self.shard_numbers().partition(|s| self.shards[usize::from(s.0)].merged);
+        Coverage { shards: self.shards.len(), contributed, missing }
+    }
+
+    fn message(&self, reason: Reason, coverage: &Coverage) -> String {
+        let (got, all) = (coverage.contributed.len(), coverage.shards);
+        let entry = &self.plan.entry.name;
+        match reason {
+            Reason::ReplicasLost => {
+                format!(
+                    "Entry \"{entry}\": {got} of {all} shards answered, the others have no replica left"
+                )
+            }
+            Reason::Overloaded => {
+                format!("Entry \"{entry}\": the queues in front of the leafs outlast the deadline")
+            }
+            Reason::Quarantined => {
+                format!("Entry \"{entry}\": the request is suspected of crashing leafs")
+            }
+            Reason::GoalReached => {
+                format!("Entry \"{entry}\": {got} of {all} shards answered within the goal")
+            }
+            _ => format!("Entry \"{entry}\": {got} of {all} shards answered within the deadline"),
+        }
+    }
+}
+
+impl Query {
+    /// Returns the outcome and takes the hits. `retry_after` is named where the query knows no
+    /// better.
+    pub fn take_answer(&mut self, retry_after: Duration) -> QueryAnswer {
+        let coverage = self.coverage();
+        let outcome = self.take_outcome();
+        let kind = outcome.kind;
+        let shows_hits = matches!(kind, OutcomeKind::Complete | OutcomeKind::Partial);
+        let hits = if shows_hits { self.best_hits(outcome.parts) } else { Vec::new() };
+        let refusal = (kind != OutcomeKind::Complete).then(|| Refusal {
+            reason: outcome.reason,
+            message: self.message(outcome.reason, &coverage),
+            retry_after: Some(outcome.excess_wait.unwrap_or(retry_after)),
+        });
+        QueryAnswer {
+            outcome: kind,
+            query: Some(self.plan.id),
+            entry: Some(self.plan.entry.name.clone()),
+            index: Some(self.plan.entry.index.clone()),
+            version: Some(outcome.version),
+            coverage,
+            hits,
+            refusal,
+        }
+    }
+
+    fn best_hits(&self, parts: Vec<(ShardNo, Vec<Hit>)>) -> Vec<Hit> {
+        let mut hits: Vec<Hit> = parts.into_iter().flat_map(|(_, hits)| hits).collect();
+        let by_rank = |a: &Hit, b: &Hit| b.score.total_cmp(&a.score).then_with(|| a.id.cmp(&b.id));
+        if hits.len() > self.plan.hits && self.plan.hits > 0 {
+            hits.select_nth_unstable_by(self.plan.hits - 1, by_rank);
+        }
+        hits.truncate(self.plan.hits);
+        hits.sort_unstable_by(by_rank);
+        hits
+    }
+}
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -75,6 +75,9 @@
 
     /// Decides how this host reaches a leaf.
     pub fn route(&self, leaf: &LeafHost) -> Route {
+        if let Some(connections) = leaf.detail.own_connections {
+            return Route::Direct(connections);
+        }
         let daemons = self.hosts.daemons.len().max(1) as u32;
         if leaf.connections >= daemons {
             return Route::Direct(leaf.connections / daemons);
--- a/lib/src/relay_link.rs
+++ b/lib/src/relay_link.rs
@@ -14,7 +14,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::call_context::CallContext;
 use crate::http_client::HttpCall;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpClientError;
@@ -33,6 +32,7 @@
 use crate::peer_protocol::decode;
 use crate::peer_protocol::encode;
 use crate::relay::RelayHost;
+use crate::search_codec::SearchCodec;
 use crate::signature::KeyRing;
 
 /// The most calls in one batch.
@@ -57,11 +57,21 @@
     RelayLost,
 }
 
+/// A call that goes through a relay.
+pub struct RelayedCall {
+    /// What is searched.
+    pub search: Arc<SearchCodec>,
+    /// The call's identity.
+    pub call: CallId,
+    /// The leaf.
+    pub leaf: LeafName,
+    /// When the answer is of no more use.
+    pub deadline: Instant,
+}
+
 /// A call on its way to a relay.
 struct Item {
-    cx: Arc<CallContext>,
-    call: CallId,
-    leaf: LeafName,
+    relayed: RelayedCall,
     told: oneshot::Sender<RelayOutcome>,
 }
 
@@ -88,15 +98,13 @@
     pub async fn call(
         self: &Arc<Self>,
         relays: &[RelayHost],
-        cx: &Arc<CallContext>,
-        call: CallId,
-        leaf: &LeafName,
+        relayed: RelayedCall,
     ) -> RelayOutcome {
-        let Some(link) = self.pick(relays, call, Instant::now()) else {
+        let Some(link) = self.pick(relays, relayed.call, Instant::now()) else {
             return RelayOutcome::NotSent;
         };
         let (told, end) = oneshot::channel();
-        let item = Item { cx: cx.clone(), call, leaf: leaf.clone(), told };
+        let item = Item { relayed, told };
         if link.items.send(item).is_err() {
             return RelayOutcome::NotSent;
         }
@@ -167,9 +175,9 @@
 async fn send_batch(links: Arc<RelayLinks>, link: Arc<Link>, batch: Vec<Item>) {
     let now = Instant::now();
     let message = batch_message(&link.relay, &batch, now);
-    let latest = batch.iter().map(|item| item.cx.deadline).max().unwrap_or(now);
+    let latest = batch.iter().map(|item| item.relayed.deadline).max().unwrap_or(now);
     let mut open: HashMap<CallId, oneshot::Sender<RelayOutcome>> =
-        batch.into_iter().map(|item| (item.call, item.told)).collect();
+        batch.into_iter().map(|item| (item.relayed.call, item.told)).collect();
     let limit = latest.saturating_duration_since(now) + BATCH_GRACE;
     let body = encode(&message);
     let signature = Some(links.keys.sign(REQUEST_PURPOSE, &body));
@@ -194,17 +202,14 @@
 fn batch_message(relay: &RelayHost, batch: &[Item], now: Instant) -> RelayRequest {
     let mut queries: Vec<RelayQuery> = Vec::new();
     for item in batch {
-        let call = RelayCall {
-            attempt: item.call.attempt,
-            shard: item.call.shard,
-            leaf: item.leaf.clone(),
-        };
+        let RelayedCall { call: id, leaf, .. } = &item.relayed;
+        let call = RelayCall { attempt: id.attempt, shard: id.shard, leaf: leaf.clone() };
         let same = |query: &RelayQuery| {
-            query.query == item.call.query && query.index_version == item.call.version
+            query.query == id.query && query.index_version == id.version
         };
         match queries.iter_mut().rev().find(|query| same(query)) {
             Some(query) => query.calls.push(call),
-            None => queries.push(relay_query(item, call, now)),
+            None => queries.push(relay_query(&item.relayed, call, now)),
         }
     }
     RelayRequest {
@@ -215,11 +220,12 @@
     }
 }
 
-fn relay_query(item: &Item, first: RelayCall, now: Instant) -> RelayQuery {
-    let CallContext { spec, params, deadline, .. } = &*item.cx;
+fn relay_query(relayed: &RelayedCall, first: RelayCall, now: Instant) -> RelayQuery {
+    let RelayedCall { call, deadline, .. } = relayed;
+    let SearchCodec { spec, params } = &*relayed.search;
     RelayQuery {
-        query: item.call.query,
-        index_version: item.call.version,
+        query: call.query,
+        index_version: call.version,
         index: spec.index.clone(),
         kind: spec.kind.clone(),
         class: spec.class,
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -17,6 +17,7 @@
 use xitca_web::body::Frame;
 
 use crate::call::Call;
+use crate::call_context::ANY_IDLE_TIME;
 use crate::call_context::CallContext;
 use crate::call_context::CallControl;
 use crate::call_context::CallEvent;
@@ -26,6 +27,8 @@
 use crate::ids::LeafName;
 use crate::leaf::Leaf;
 use crate::leaf_protocol::CallId;
+use crate::leaf_protocol::Hit;
+use crate::leaf_protocol::LeafAnswer;
 use crate::peer_protocol::ProtocolError;
 use crate::peer_protocol::RelayCancel;
 use crate::peer_protocol::RelayEnd;
@@ -38,6 +41,7 @@
 use crate::plan::SendCall;
 use crate::relay::Route;
 use crate::relay_link::with_length;
+use crate::search_codec::SearchCodec;
 
 /// The calls that this host runs for others, by which they are cancelled.
 #[derive(Debug, Default)]
@@ -147,22 +151,27 @@
     fn relay_context(
         &self,
         query: &RelayQuery,
-        events: mpsc::UnboundedSender<CallEvent>,
+        events: mpsc::UnboundedSender<CallEvent<Vec<Hit>>>,
         now: Instant,
-    ) -> Option<Arc<CallContext>> {
+    ) -> Option<Arc<CallContext<Vec<Hit>>>> {
         // A process that is leaving, or has just woken from a pause, takes no calls of others either.
         self.lifecycle.begin(now).ok()?;
+        let spec = CallSpec {
+            index: query.index.clone(),
+            kind: query.kind.clone(),
+            class: query.class,
+            idempotent: query.idempotent,
+        };
+        let params = RawValue::from_string(query.params.clone()).ok()?;
         Some(Arc::new(CallContext {
             tier: self.tier.clone(),
-            spec: CallSpec {
-                index: query.index.clone(),
-                kind: query.kind.clone(),
-                class: query.class,
-                idempotent: query.idempotent,
-            },
+            codec: Arc::new(SearchCodec { spec, params }),
+            class: query.class,
+            relayed: None,
+            suspect: None,
+            max_idle: ANY_IDLE_TIME,
             charge: None,
             latency: self.tier.latency(&query.index, now),
-            params: RawValue::from_string(query.params.clone()).ok()?,
             deadline: now + Duration::from_millis(query.remaining_ms),
             events,
         }))
@@ -184,21 +193,21 @@
     }
 }
 
-fn refuse(events: &mpsc::UnboundedSender<CallEvent>, call: CallId) {
+fn refuse(events: &mpsc::UnboundedSender<CallEvent<Vec<Hit>>>, call: CallId) {
     // The batch ends when nobody listens any more.
     let _ = events.send(CallEvent::Lost(call, Loss::NotSent));
 }
 
 async fn tell_ends(
     daemon: Arc<Daemon>,
-    mut events: mpsc::UnboundedReceiver<CallEvent>,
+    mut events: mpsc::UnboundedReceiver<CallEvent<Vec<Hit>>>,
     nonce: u64,
     frames: mpsc::UnboundedSender<Bytes>,
 ) {
     while let Some(event) = events.recv().await {
         let (call, end) = match event {
             CallEvent::Answered(call, answer) => {
-                let json = serde_json::to_vec(&answer).expect("message types serialise");
+                let json = serde_json::to_vec(&LeafAnswer::from(answer)).expect("message types serialise");
                 (call, RelayEnd::Answered { json })
             }
             CallEvent::Lost(call, Loss::NotSent) => (call, RelayEnd::NotSent),
--- /dev/null
+++ b/lib/src/search_codec.rs
@@ -0,0 +1,74 @@
+//! The product's own leaf protocol: searches as JSON over HTTP.
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::header;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::call_context::CallSpec;
+use crate::leaf_codec::LeafCodec;
+use crate::leaf_codec::OutgoingCall;
+use crate::leaf_codec::StrayReply;
+use crate::leaf_protocol::CANCEL_PATH;
+use crate::leaf_protocol::CallId;
+use crate::leaf_protocol::Hit;
+use crate::leaf_protocol::LeafAnswer;
+use crate::leaf_protocol::LeafReply;
+use crate::leaf_protocol::LeafRequest;
+use crate::leaf_protocol::SEARCH_PATH;
+
+/// Writes the searches of one query.
+#[derive(Clone, Debug)]
+pub struct SearchCodec {
+    /// What is called.
+    pub spec: CallSpec,
+    /// The caller's parameters.
+    pub params: Box<RawValue>,
+}
+
+/// Makes a request with a JSON body.
+pub fn json_request<T: Serialize>(path: &'static str, value: &T) -> Request<Bytes> {
+    let body = serde_json::to_vec(value).expect("message types serialise");
+    Request::post(path)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .expect("constant parts are valid")
+}
+
+impl LeafCodec<Vec<Hit>> for SearchCodec {
+    fn request(&self, call: &OutgoingCall<'_>) -> Request<Bytes> {
+        let request = LeafRequest {
+            call: call.call,
+            index: &self.spec.index,
+            kind: &self.spec.kind,
+            idempotent: self.spec.idempotent,
+            remaining_ms: call.remaining.as_millis() as u64,
+            params: &self.params,
+        };
+        json_request(SEARCH_PATH, &request)
+    }
+
+    fn reply(
+        &self,
+        call: &OutgoingCall<'_>,
+        response: Response<Bytes>,
+    ) -> Result<LeafReply<Vec<Hit>>, StrayReply> {
+        let reply = self.relayed(response.body())?;
+        if reply.call == call.call {
+            Ok(reply)
+        } else {
+            Err(StrayReply(format!("it echoes {:?}", reply.call)))
+        }
+    }
+
+    fn cancellation(&self, call: CallId) -> Option<Request<Bytes>> {
+        Some(json_request(CANCEL_PATH, &call))
+    }
+
+    fn relayed(&self, body: &[u8]) -> Result<LeafReply<Vec<Hit>>, StrayReply> {
+        let answer = LeafAnswer::parse(body).map_err(|e| StrayReply(e.to_string()))?;
+        Ok(answer.into())
+    }
+}
--- /dev/null
+++ b/lib/src/socket.rs
@@ -0,0 +1,42 @@
+//! Sockets as this system opens them.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+/// Idle time after which the kernel probes a connection, and the pause between its probes. A peer
+/// that went silent is found within a few of them.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is broken.
+const MAX_PROBES: u32 = 3;
+/// Longest time that written bytes may stay unacknowledged.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+
+/// Opens a connection that sends at once and notices a silent peer.
+pub async fn connect(peer: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
+    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(local) = local.filter(|local| local.is_ipv4() == peer.is_ipv4()) {
+        socket.bind(SocketAddr::new(local, 0))?;
+    }
+    let stream = socket.connect(peer).await?;
+    stream.set_nodelay(true)?;
+    watch_for_silence(&stream)?;
+    Ok(stream)
+}
+
+/// Lets the kernel break a connection whose peer no longer answers.
+pub fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(MAX_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
--- /dev/null
+++ b/lib/src/subscriber.rs
@@ -0,0 +1,232 @@
+//! Follows the platform's publications and puts what they say in force.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use tokio::sync::Notify;
+
+use crate::connection_share::HostCounts;
+use crate::events::Event;
+use crate::fleet::Fleet;
+use crate::fleet_budget::FleetBudget;
+use crate::ids::Revision;
+use crate::log_event;
+use crate::opaque_view::ViewCell;
+use crate::outage::Outage;
+use crate::outage::Turn;
+use crate::publications::Page;
+use crate::publications::Publications;
+use crate::publications::Result;
+use crate::publications::Watched;
+use crate::published::ChangeSet;
+use crate::subscription::EXPIRY_CHECK;
+use crate::subscription::HostCounter;
+use crate::subscription::Source;
+use crate::subscription::Subscription;
+
+/// How long one watch waits. A watch whose answer was lost is noticed after that, which must leave
+/// time to put a change in force within the platform's bounds.
+const WATCH_TIME: Duration = Duration::from_secs(4);
+/// Pause between two watches, in which changes gather; each watch is a priced call.
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Shortest and longest pause after a call that failed.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 100..300;
+
+/// What is known of the platform, shared by all that read or use it.
+pub struct Knowledge {
+    /// What was published.
+    pub subscription: Mutex<Subscription>,
+    /// Whether the platform can be read.
+    pub outage: Mutex<Outage>,
+    /// The other hosts.
+    pub fleet: Mutex<Fleet>,
+    /// The region of each zone.
+    pub regions: std::collections::BTreeMap<String, String>,
+    /// The fleet's budget for extra calls.
+    pub budget: Arc<Mutex<FleetBudget>>,
+    /// The view in force.
+    pub views: Arc<ViewCell>,
+}
+
+struct FleetCounter<'a> {
+    fleet: &'a Fleet,
+    regions: &'a std::collections::BTreeMap<String, String>,
+}
+
+impl HostCounter for FleetCounter<'_> {
+    fn count(&self, zone: &str) -> HostCounts {
+        let region = self.regions.get(zone);
+        let is_near = |other: &str| other == zone || region.is_some() && self.regions.get(other) == region;
+        let near = self.fleet.count(is_near);
+        let far = self.fleet.count(|other| !is_near(other));
+        HostCounts { near, far, is_near: is_near(&self.fleet.own().zone) }
+    }
+}
+
+impl Knowledge {
+    /// Takes in changes and puts the view that they make in force.
+    pub fn take(&self, set: ChangeSet, source: Source, now: Instant) {
+        let bridged_until = self.outage.lock().unwrap().bridged_until(now);
+        let changed =
+            self.subscription.lock().unwrap().take(set, source, bridged_until, now);
+        if changed {
+            self.renew_view(now);
+        }
+    }
+
+    /// Puts the view of what is known now in force.
+    pub fn renew_view(&self, now: Instant) {
+        let fleet = self.fleet.lock().unwrap();
+        let counter = FleetCounter { fleet: &fleet, regions: &self.regions };
+        self.budget.lock().unwrap().set_hosts(fleet.count(|_| true));
+        let view = self.subscription.lock().unwrap().make_view(&counter, now);
+        self.views.set(view);
+    }
+
+    /// Counts the hosts near to and far from a zone.
+    pub fn host_counts(&self, zone: &str) -> HostCounts {
+        let fleet = self.fleet.lock().unwrap();
+        FleetCounter { fleet: &fleet, regions: &self.regions }.count(zone)
+    }
+
+    /// Returns the revision up to which everything is known.
+    pub fn position(&self) -> Revision {
+        self.subscription.lock().unwrap().position()
+    }
+
+    /// Whether a configuration and the leafs are known.
+    pub fn is_whole(&self) -> bool {
+        self.views.get().catalogue.is_some()
+    }
+
+    /// Drops leafs that lapsed, for as long as the process runs.
+    pub async fn expire_lapsed(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(EXPIRY_CHECK).await;
+            let now = Instant::now();
+            if self.subscription.lock().unwrap().expire(now) {
+                self.renew_view(now);
+            }
+        }
+    }
+}
+
+/// The process's reader of the platform.
+pub struct Subscriber {
+    knowledge: Arc<Knowledge>,
+    publications: Box<dyn Publications>,
+    /// Ends the present wait, after a pause of the process.
+    pub wake: Arc<Notify>,
+}
+
+enum Progress {
+    Listed,
+    Changed,
+    Quiet,
+    HistoryLost,
+}
+
+impl Subscriber {
+    /// Makes a reader.
+    pub fn new(knowledge: Arc<Knowledge>, publications: Box<dyn Publications>) -> Self {
+        Self { knowledge, publications, wake: Arc::default() }
+    }
+
+    /// Follows the platform for as long as the process runs.
+    pub async fn run(self) {
+        let mut is_listed = false;
+        loop {
+            let step = async {
+                if is_listed { self.watch().await } else { self.list().await }
+            };
+            let result = tokio::select! {
+                result = step => result,
+                () = self.wake.notified() => continue,
+            };
+            self.note(&result);
+            match result {
+                Ok(Progress::Listed) => is_listed = true,
+                Ok(Progress::Quiet) => {}
+                Ok(Progress::Changed) => tokio::time::sleep(WATCH_PAUSE).await,
+                Ok(Progress::HistoryLost) => {
+                    log_event!(
+                        warn,
+                        Event::HistoryLost,
+                        position = self.knowledge.position().0
+                    );
+                    is_listed = false;
+                }
+                Err(_) => {
+                    let pause = rand::rng().random_range(RETRY_PAUSE_MS);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                }
+            }
+        }
+    }
+
+    fn note(&self, result: &Result<Progress>) {
+        let now = Instant::now();
+        let position = self.knowledge.position().0;
+        let mut outage = self.knowledge.outage.lock().unwrap();
+        match result {
+            Ok(_) => {
+                if let Turn::Regained(away) = outage.heard(now) {
+                    let away_ms = away.as_millis() as u64;
+                    log_event!(info, Event::PlatformHeard, away_ms, position);
+                }
+            }
+            Err(e) => {
+                if outage.failed() == Turn::Lost {
+                    let cause = crate::daemon::with_sources(e);
+                    log_event!(warn, Event::PlatformSilent, position, cause);
+                }
+            }
+        }
+    }
+
+    /// Reads everything. Changes made meanwhile come with the watch from the first page's revision.
+    async fn list(&self) -> Result<Progress> {
+        let Page { mut changes, position, .. } = self.publications.configuration().await?;
+        let mut after = None;
+        loop {
+            let page = self.publications.list(after).await?;
+            changes.extend(page.changes);
+            after = page.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.heard();
+        let set = ChangeSet { position, whole: true, changes };
+        self.knowledge.take(set, Source::Platform, Instant::now());
+        Ok(Progress::Listed)
+    }
+
+    async fn watch(&self) -> Result<Progress> {
+        let after = self.knowledge.position();
+        match self.publications.watch(after, WATCH_TIME).await? {
+            Watched::HistoryLost => Ok(Progress::HistoryLost),
+            Watched::Changes { changes, position } => {
+                self.heard();
+                let is_quiet = changes.is_empty();
+                let set = ChangeSet { position, whole: false, changes };
+                self.knowledge.take(set, Source::Platform, Instant::now());
+                Ok(if is_quiet { Progress::Quiet } else { Progress::Changed })
+            }
+        }
+    }
+
+    /// Notes the platform's return before what it says is taken in: removals after a return may be
+    /// lapses.
+    fn heard(&self) {
+        let now = Instant::now();
+        let turn = self.knowledge.outage.lock().unwrap().heard(now);
+        if let Turn::Regained(away) = turn {
+            let away_ms = away.as_millis() as u64;
+            log_event!(info, Event::PlatformHeard, away_ms, position = self.knowledge.position().0);
+        }
+    }
+}
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -1,8 +1,10 @@
 //! The tables that all workers of one process share.
 //!
 //! Lock order: `draining`, then `view`, then `entries`, then one entry's tables, then `indexes`, then a leaf's state,
-//! then `quarantine`, then `ledger`. No lock is held across an await.
+//! then `distances`, `crashes`,
+//! `quarantine` and `ledger`, of which no two are held at once. No lock is held across an await.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -20,6 +22,9 @@
 use crate::budget::ExtraLoadBudget;
 use crate::catalogue::Entry;
 use crate::counters::Counters;
+use crate::crash_watch::CrashWatch;
+use crate::distance::Distances;
+use crate::events::Event;
 use crate::hosts::LeafRegistry;
 use crate::ids::EntryName;
 use crate::ids::HostName;
@@ -38,6 +43,7 @@
 use crate::publication::Document;
 use crate::publication::Result;
 use crate::publication::View;
+use crate::quarantine::Fingerprint;
 use crate::quarantine::Quarantine;
 use crate::relay_link::RelayLinks;
 
@@ -85,6 +91,10 @@
     pub quarantine: Mutex<Quarantine>,
     /// Charges.
     pub ledger: Mutex<Ledger>,
+    /// Round trips to the zones.
+    pub distances: Mutex<Distances>,
+    /// Broken connections that may have been crashes.
+    pub crashes: Mutex<CrashWatch>,
     /// Opens connections to leafs.
     pub backend: Box<dyn LeafBackend>,
     /// Calls leafs through other hosts.
@@ -102,7 +112,10 @@
 impl Tier {
     /// Makes tables with nothing published yet.
     pub fn new(identity: Identity, backend: Box<dyn LeafBackend>, relays: Arc<RelayLinks>) -> Self {
+        let distances = Distances::new(identity.zone.clone(), BTreeMap::new());
         Self {
+            distances: Mutex::new(distances),
+            crashes: Mutex::default(),
             identity,
             counters: Counters::default(),
             quarantine: Mutex::default(),
@@ -132,6 +145,30 @@
         Ok(next)
     }
 
+    /// Puts a view in force that was not made of documents.
+    pub fn replace_view(&self, view: Arc<View>) {
+        *self.view.write().unwrap() = view;
+    }
+
+    /// Returns the names of leafs that have keys.
+    pub fn registry(&self) -> &LeafRegistry {
+        &self.registry
+    }
+
+    /// Records that a request's connection to a leaf broke.
+    pub fn note_broken(&self, leaf: LeafKey, fingerprint: Fingerprint, now: Instant) {
+        self.crashes.lock().unwrap().broke(leaf, fingerprint, now);
+    }
+
+    /// Records that a leaf refused a connection: requests that broke there just before are struck.
+    pub fn note_refused(&self, leaf: LeafKey, now: Instant) {
+        let struck = self.crashes.lock().unwrap().refused(leaf, now);
+        for strike in struck {
+            let event = if strike.condemned { Event::RequestCondemned } else { Event::RequestSuspected };
+            event.warn(&format!("request {:016x} leaf key {leaf}", strike.fingerprint.0));
+        }
+    }
+
     /// Returns a query id that this process never used before.
     pub fn next_query_id(&self) -> QueryId {
         let number = self.next_query.fetch_add(1, Ordering::Relaxed);
@@ -221,8 +258,5 @@
     }
 }
 
-/// Share of the extra-load budget's credit that hedges leave for retries, in calls.
-pub const RETRY_RESERVE_CALLS: f64 = 1.0;
-
 /// Longest time to open a connection to a leaf.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(500);
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -27,6 +27,7 @@
 use jasmineusher_lib::plan::Policy;
 use jasmineusher_lib::plan::Purpose;
 use jasmineusher_lib::plan::QueryPlan;
+use jasmineusher_lib::plan::RetryCause;
 use jasmineusher_lib::plan::SendCall;
 use jasmineusher_lib::plan::Suspicion;
 use jasmineusher_lib::query::Query;
@@ -56,18 +57,18 @@
         let leaf = if purpose == Purpose::Retry { fresh.or(tried.first().copied()) } else { fresh };
         let leaf = leaf?;
         let wait = self.waits.get(&leaf).copied().unwrap_or(Duration::from_millis(1));
-        Some(Choice { leaf, wait })
+        Some(Choice { leaf, wait, cost: wait })
     }
 
-    fn take_hedge(&mut self, _now: Instant) -> bool {
+    fn take_hedge(&mut self, _slow: LeafKey, _now: Instant) -> bool {
         true
     }
 
-    fn take_retry(&mut self, _failed: LeafKey, _may_have_run: bool, _now: Instant) -> bool {
+    fn take_retry(&mut self, _failed: LeafKey, _cause: RetryCause, _now: Instant) -> bool {
         true
     }
 
-    fn hedge_delay(&self) -> Option<Duration> {
+    fn hedge_delay(&self, _leaf: LeafKey) -> Option<Duration> {
         Some(Duration::from_millis(10))
     }
 
@@ -110,6 +111,7 @@
         snapshot,
         hits: 10,
         deadline: now + Duration::from_secs(5),
+        goal_at: None,
         first_attempt: Attempt(0),
         suspicion,
     }
@@ -454,6 +456,6 @@
     let now = Instant::now();
     let plan = plan("lookup", now, Suspicion::Clear, 2);
     let snapshot = Arc::downgrade(&plan.snapshot);
-    drop(Query::new(plan));
+    drop(Query::<Vec<Hit>>::new(plan));
     assert!(snapshot.upgrade().is_none(), "a finished query keeps no version alive");
 }
