belief: one pause is no slow leaf; answers leave before the goal

Cause: after each pause of a leaf its mean latency stayed above that of other zones for seconds, and answers at the goal came 3 ms too late at the caller. Samples are clipped, first ones trusted by degrees, 10 ms kept before the goal, connections to near leafs opened ahead.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -12,6 +12,10 @@
 
 /// Weight of a new sample in the running means of latency and of failures.
 const SAMPLE_WEIGHT: f64 = 0.25;
+/// Most that one sample counts for, as a multiple of the mean: a single pause is no slow leaf.
+const MAX_SAMPLE_FACTOR: f64 = 2.5;
+/// Samples after which the mean is believed wholly; before that, what is typical counts too.
+const TRUSTED_SAMPLES: f64 = 3.0;
 /// Time in which an observation loses most of its weight against what is typical, so that a leaf
 /// that was slow or failed is tried again now and then.
 const MEMORY: Duration = Duration::from_secs(4);
@@ -56,6 +60,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Belief {
     latency_us: f64,
+    samples: u32,
     failure_rate: f64,
     sampled_at: Option<Instant>,
     outstanding: Vec<Outstanding>,
@@ -129,8 +134,13 @@
 
     fn sample(&mut self, latency: Duration, failure: f64, now: Instant) {
         let sample = latency.as_micros() as f64;
-        let weight = if self.sampled_at.is_none() { 1.0 } else { SAMPLE_WEIGHT };
-        self.latency_us += (sample - self.latency_us) * weight;
+        self.samples = self.samples.saturating_add(1);
+        if self.latency_us == 0.0 {
+            self.latency_us = sample;
+        } else {
+            let sample = sample.min(self.latency_us * MAX_SAMPLE_FACTOR);
+            self.latency_us += (sample - self.latency_us) * SAMPLE_WEIGHT;
+        }
         self.sample_failure(failure, now);
     }
 
@@ -208,8 +218,8 @@
             (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
         });
         let typical_us = typical.as_micros() as f64;
-        let observed = if self.latency_us == 0.0 { typical_us } else { self.latency_us };
-        let mut cost_us = typical_us + (observed - typical_us) * weight;
+        let trust = weight * (f64::from(self.samples) / TRUSTED_SAMPLES).min(1.0);
+        let mut cost_us = typical_us + (self.latency_us - typical_us) * trust;
         cost_us += self.failure_rate * weight * FAILURE_COST.as_micros() as f64;
         if self.cold_until.is_some_and(|until| now < until) {
             cost_us += typical_us * COLD_EXTRA;
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -35,6 +35,7 @@
 use crate::relay_link::RelayOutcome;
 use crate::relay_link::RelayedCall;
 use crate::tier::CONNECT_LIMIT;
+use crate::tier::Tier;
 
 /// How long a cancelled call may still answer before its connection is closed.
 const CANCEL_GRACE: Duration = Duration::from_millis(300);
@@ -143,26 +144,7 @@
 
     async fn open_connection(&self) -> Result<Box<dyn LeafConnection>, BackendError> {
         let remaining = self.cx.deadline.saturating_duration_since(Instant::now());
-        let tier = &self.cx.tier;
-        tier.counters.connects.increment();
-        let opening = tier.backend.connect(self.leaf.host.addr, remaining.min(CONNECT_LIMIT));
-        // The count of open connections must be right even when this future is dropped.
-        let mut opened = OpenGuard { leaf: &self.leaf, kept: false };
-        let result = opening.await;
-        opened.kept = result.is_ok();
-        match result {
-            Ok(Opened { conn, took }) => {
-                tier.distances.lock().unwrap().observed(&self.leaf.host.zone, took);
-                Ok(conn)
-            }
-            Err(e) => {
-                tier.counters.connect_failures.increment();
-                if e.is_refused() {
-                    tier.note_refused(self.leaf.key, Instant::now());
-                }
-                Err(e)
-            }
-        }
+        open_connection(&self.cx.tier, &self.leaf, remaining.min(CONNECT_LIMIT)).await
     }
 
     /// Checks the clock next to the write, since the process may have been paused until now.
@@ -183,7 +165,7 @@
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
         self.leaf.state().belief.begun(self.send.call, started);
         let outgoing = self.outgoing(started);
-        let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
+        let result = self.exchange_or_cancel(held.conn(), &outgoing).await;
         let now = Instant::now();
         self.leaf.state().belief.ended(self.send.call);
         let elapsed = now.saturating_duration_since(started);
@@ -235,7 +217,6 @@
         &self,
         conn: &mut Box<dyn LeafConnection>,
         outgoing: &OutgoingCall<'_>,
-        started: Instant,
     ) -> Option<Result<Response<Bytes>, BackendError>> {
         let mut exchange = conn.exchange(self.cx.codec.request(outgoing));
         tokio::select! {
@@ -244,7 +225,6 @@
             () = self.control.cancelled() => {}
         }
         self.cx.tier.counters.cancels.increment();
-        self.note_unanswered(started.elapsed(), Instant::now());
         let told = self.tell_leaf_to_cancel();
         let answered = tokio::time::timeout(CANCEL_GRACE, &mut exchange);
         let ((), answered) = futures_util::future::join(told, answered).await;
@@ -395,6 +375,42 @@
     }
 }
 
+/// Opens a connection for which the pool has given leave.
+async fn open_connection(
+    tier: &Tier,
+    leaf: &Leaf,
+    limit: Duration,
+) -> Result<Box<dyn LeafConnection>, BackendError> {
+    tier.counters.connects.increment();
+    let opening = tier.backend.connect(leaf.host.addr, limit);
+    // The count of open connections must be right even when this future is dropped.
+    let mut opened = OpenGuard { leaf, kept: false };
+    let result = opening.await;
+    opened.kept = result.is_ok();
+    match result {
+        Ok(Opened { conn, took }) => {
+            tier.distances.lock().unwrap().observed(&leaf.host.zone, took);
+            Ok(conn)
+        }
+        Err(e) => {
+            tier.counters.connect_failures.increment();
+            if e.is_refused() {
+                tier.note_refused(leaf.key, Instant::now());
+            }
+            Err(e)
+        }
+    }
+}
+
+/// Opens a connection ahead of need. A leaf that cannot be reached is tried when it is needed.
+pub async fn warm_up(tier: Arc<Tier>, leaf: Arc<Leaf>) {
+    if let Acquired::MayOpen = leaf.pool.acquire(ANY_IDLE_TIME, Instant::now())
+        && let Ok(conn) = open_connection(&tier, &leaf, CONNECT_LIMIT).await
+    {
+        leaf.pool.put_back(conn, Instant::now());
+    }
+}
+
 /// Gives a slot back and wakes the waiters that get one.
 fn leave(leaf: &Leaf, end: CallEnd) {
     let now = Instant::now();
--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -137,6 +137,8 @@
     pub class: Class,
     /// What a call through a relay needs; without it, calls go to the leafs directly.
     pub relayed: Option<Arc<SearchCodec>>,
+    /// The caller's id of the request, for the log.
+    pub request: Option<Arc<str>>,
     /// The request, where a broken connection alone is no sign that it crashed the leaf.
     pub suspect: Option<Fingerprint>,
     /// The oldest idle connection that may carry a call; one that is not repeatable must not meet a
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -16,16 +16,20 @@
 use crate::call_context::Cancelled;
 use crate::catalogue::Class;
 use crate::distance::Distances;
+use crate::events::Event;
 use crate::extra_calls::ExtraCalls;
 use crate::ids::Attempt;
 use crate::ids::LeafKey;
 use crate::leaf::Choosing;
+use crate::leaf::Leaf;
 use crate::leaf::LeafTable;
+use crate::log_event;
 use crate::plan::Actions;
 use crate::plan::Choice;
 use crate::plan::Policy;
 use crate::plan::Purpose;
 use crate::plan::RetryCause;
+use crate::plan::SendCall;
 use crate::query::Query;
 use crate::tier::Tier;
 
@@ -61,6 +65,7 @@
     policy: TierPolicy,
     cx: Arc<CallContext<P>>,
     events: mpsc::UnboundedReceiver<CallEvent<P>>,
+    started: Instant,
 }
 
 impl<P: Send + 'static> Driver<P> {
@@ -86,7 +91,7 @@
             first_attempt: query.next_attempt(),
             chosen_at: Instant::now(),
         };
-        Self { query, policy, cx, events }
+        Self { query, policy, cx, events, started: Instant::now() }
     }
 
     /// Makes the first calls.
@@ -162,6 +167,7 @@
                 unreachable!("chosen leaf {:?} is not in its view", send.leaf);
             };
             leaf.count_call();
+            self.log_call(&send, &leaf);
             tokio::spawn(Call { cx: self.cx.clone(), leaf, send, control }.run());
         }
         for attempt in actions.cancels.drain(..) {
@@ -169,6 +175,33 @@
         }
     }
 
+    fn log_call(&self, send: &SendCall, leaf: &Leaf) {
+        let Some(request) = self.cx.request.as_deref() else { return };
+        if send.purpose == Purpose::First {
+            tracing::debug!(
+                request,
+                shard = send.call.shard.0,
+                leaf = leaf.host.name.as_str(),
+                zone = leaf.host.zone.as_str(),
+                cost_us = send.cost.as_micros() as u64,
+                service_us = leaf.state().belief.service().as_micros() as u64,
+                "first call"
+            );
+            return;
+        }
+        log_event!(
+            info,
+            Event::CallRepeated,
+            request,
+            purpose = ?send.purpose,
+            shard = send.call.shard.0,
+            leaf = leaf.host.name.as_str(),
+            zone = leaf.host.zone.as_str(),
+            cost_ms = send.cost.as_millis() as u64,
+            after_ms = self.started.elapsed().as_millis() as u64
+        );
+    }
+
     fn cancel(&mut self, attempt: Attempt) {
         let cancelled = self.policy.control(attempt).map_or(Cancelled::Withdrawn, |c| c.cancel());
         if cancelled == Cancelled::Withdrawn {
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use crate::call;
 use crate::caller_codec::CallerCodec;
 use crate::connection_share;
 use crate::distance::Distances;
@@ -55,6 +56,8 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// How often a process looks whether it was paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(250);
+/// Pause between two connections that are opened ahead of need.
+const WARM_UP_PAUSE: Duration = Duration::from_millis(2);
 /// How often idle connections to leafs are looked at.
 const IDLE_CHECK: Duration = Duration::from_millis(500);
 
@@ -156,7 +159,7 @@
             knowledge: knowledge.clone(),
             edge: edge.clone(),
             metrics,
-            tier,
+            tier: tier.clone(),
             ready_path: parts.ready_path,
         });
         let subscriber = Subscriber::new(knowledge.clone(), parts.publications);
@@ -164,6 +167,7 @@
         tokio::spawn(subscriber.run());
         tokio::spawn(knowledge.clone().expire_lapsed());
         tokio::spawn(close_idle(knowledge.clone()));
+        tokio::spawn(warm_up(knowledge.clone(), tier.clone()));
         tokio::spawn(link.run());
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
@@ -261,3 +265,20 @@
         }
     }
 }
+
+/// Opens a connection to each leaf of the own zone that has none, a few at a time, so that the first
+/// requests after a start need not wait for them.
+async fn warm_up(knowledge: Arc<Knowledge>, tier: Arc<Tier>) {
+    let mut warmed = std::collections::HashSet::new();
+    loop {
+        let view = knowledge.views.get();
+        for leaf in view.leafs.iter() {
+            let is_near = leaf.host.zone == tier.identity.zone;
+            if is_near && warmed.insert(leaf.key) && leaf.pool.open() == 0 {
+                tokio::spawn(call::warm_up(tier.clone(), leaf.clone()));
+                tokio::time::sleep(WARM_UP_PAUSE).await;
+            }
+        }
+        tokio::time::sleep(IDLE_CHECK).await;
+    }
+}
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -33,7 +33,7 @@
 pub const CHANGES_PATH: &str = "/fleet/changes";
 
 /// Pause between exchanges.
-const EXCHANGE_PAUSE: Duration = Duration::from_secs(1);
+const EXCHANGE_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between exchanges of a host that has just started or cannot read the platform.
 const HASTY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after the start in which a host is hasty.
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -290,6 +290,7 @@
             codec: search.clone(),
             class: self.entry.class,
             relayed: Some(search),
+            request: None,
             suspect: None,
             max_idle: ANY_IDLE_TIME,
             charge: Some(ChargeTo {
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -115,7 +115,7 @@
     }
 
     fn is_usable(&self, now: Instant) -> bool {
-        // A connection that still writes the rest of a request is not ready.
-        self.sender.is_ready() && self.closes_at.is_none_or(|at| now < at)
+        // Whether it still writes the rest of a request shows when it is used next.
+        !self.sender.is_closed() && self.closes_at.is_none_or(|at| now < at)
     }
 }
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -47,8 +47,8 @@
 
 /// Work expected of a call before any was seen.
 const UNKNOWN_WORK: Duration = Duration::from_millis(8);
-/// Time that an answer takes from here to the caller, kept free before the goal.
-const RETURN_TIME: Duration = Duration::from_millis(6);
+/// Time that a request takes from its caller and the answer back, kept free before the goal.
+const RETURN_TIME: Duration = Duration::from_millis(10);
 /// Longest idle time of a connection for a request that may not run twice: a leaf that closes idle
 /// connections could do so just as the request arrives.
 const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
@@ -220,6 +220,7 @@
             codec: self.codecs.make(req.clone()),
             class: entry.class,
             relayed: None,
+            request: Some(req.id.to_str().unwrap_or_default().into()),
             suspect: Some(req.fingerprint()),
             max_idle: if entry.idempotent { ANY_IDLE_TIME } else { FRESH_IDLE_TIME },
             charge: None,
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -81,6 +81,8 @@
     pub leaf: LeafKey,
     /// Why the call is made.
     pub purpose: Purpose,
+    /// What made the leaf the best choice.
+    pub cost: Duration,
 }
 
 /// What the caller of the machine has to do next.
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -146,7 +146,7 @@
                 None => self.give_up(shard),
                 Some(_) if self.trial.is_some() => self.hold(shard),
                 Some(choice) => {
-                    let attempt = self.send(shard, choice.leaf, Purpose::First, out);
+                    let attempt = self.send(shard, *choice, Purpose::First, out);
                     self.shard(shard).hedge_at = self.hedge_time(choice.leaf, now, policy);
                     if self.suspicion == Suspicion::Suspected {
                         self.trial = Some(attempt);
@@ -319,17 +319,18 @@
     pub(crate) fn send(
         &mut self,
         shard: ShardNo,
-        leaf: LeafKey,
+        choice: Choice,
         purpose: Purpose,
         out: &mut Actions,
     ) -> Attempt {
+        let Choice { leaf, cost, .. } = choice;
         let attempt = self.next_attempt();
         self.calls.push(CallRecord { shard, leaf, state: CallState::Live });
         let state = self.shard(shard);
         state.live += 1;
         state.tried.push(leaf);
         self.live += 1;
-        out.sends.push(SendCall { call: self.call_id(attempt, shard), leaf, purpose });
+        out.sends.push(SendCall { call: self.call_id(attempt, shard), leaf, purpose, cost });
         attempt
     }
 
--- a/lib/src/query_hedge.rs
+++ b/lib/src/query_hedge.rs
@@ -52,9 +52,9 @@
         if policy.withdraw(slow) {
             self.close_call(slow);
             self.shard(shard).unsent += 1;
-            self.send(shard, choice.leaf, Purpose::First, out);
+            self.send(shard, choice, Purpose::First, out);
         } else if policy.take_hedge(slow_leaf, now) {
-            self.send(shard, choice.leaf, Purpose::Hedge, out);
+            self.send(shard, choice, Purpose::Hedge, out);
         }
     }
 
--- a/lib/src/query_retry.rs
+++ b/lib/src/query_retry.rs
@@ -90,7 +90,7 @@
         let purpose = if tried.is_empty() { Purpose::First } else { Purpose::Retry };
         match policy.choose(snapshot.replicas(shard), &tried, purpose, now) {
             Some(choice) => {
-                self.send(shard, choice.leaf, purpose, out);
+                self.send(shard, choice, purpose, out);
                 self.shard(shard).hedge_at = self.hedge_time(choice.leaf, now, policy);
             }
             None => self.give_up(shard),
@@ -157,7 +157,7 @@
             .filter(|_| policy.take_retry(failed, cause, now));
         match choice {
             Some(choice) => {
-                let attempt = self.send(shard, choice.leaf, Purpose::Retry, out);
+                let attempt = self.send(shard, choice, Purpose::Retry, out);
                 self.shard(shard).hedge_at = self.hedge_time(choice.leaf, now, policy);
                 Some(attempt)
             }
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -143,7 +143,8 @@
             let control = Arc::new(CallControl::default());
             self.relayed.controls.lock().unwrap().insert(id, control.clone());
             batch.calls.push(id);
-            let send = SendCall { call: id, leaf: leaf.key, purpose: Purpose::First };
+            let (purpose, cost) = (Purpose::First, Duration::ZERO);
+            let send = SendCall { call: id, leaf: leaf.key, purpose, cost };
             tokio::spawn(Call { cx: cx.clone(), leaf, send, control }.run());
         }
     }
@@ -168,6 +169,7 @@
             codec: Arc::new(SearchCodec { spec, params }),
             class: query.class,
             relayed: None,
+            request: None,
             suspect: None,
             max_idle: ANY_IDLE_TIME,
             charge: None,
