--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -48,6 +48,8 @@
     Ejected,
     /// Is leaving and gets nothing new.
     Draining,
+    /// Another leaf answers at its address.
+    Gone,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +72,7 @@
     cold_until: Option<Instant>,
     listed_leaving: bool,
     said_draining_at: Option<Instant>,
+    misdirected_until: Option<Instant>,
     answered_at: Option<Instant>,
     sheds: u64,
     losses: u64,
@@ -120,8 +123,7 @@
 
     /// Records that another leaf answers at this leaf's address.
     pub fn misdirected(&mut self, now: Instant) {
-        self.ejected_until = Some(now + MISDIRECTED_TIME);
-        self.failures_in_row = EJECT_AFTER_FAILURES;
+        self.misdirected_until = Some(now + MISDIRECTED_TIME);
     }
 
     /// Records that the leaf refused a connection. Returns whether this ejected the leaf.
@@ -196,7 +198,9 @@
     /// Whether the leaf may get a call now. After its time out, an ejected leaf is probed.
     pub fn usability(&self, now: Instant) -> Usability {
         let said = |at: Instant| now.saturating_duration_since(at) < DRAIN_MEMORY;
-        if self.listed_leaving || self.said_draining_at.is_some_and(said) {
+        if self.misdirected_until.is_some_and(|until| now < until) {
+            Usability::Gone
+        } else if self.listed_leaving || self.said_draining_at.is_some_and(said) {
             Usability::Draining
         } else if self.ejected_until.is_some_and(|until| now < until) {
             Usability::Ejected
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -238,7 +238,7 @@
         let state = leaf.state();
         let usability = state.belief.usability(self.now);
         let is_hedge = self.purpose == Purpose::Hedge;
-        if usability == Usability::Draining {
+        if matches!(usability, Usability::Draining | Usability::Gone) {
             return None;
         }
         if is_hedge && (was_tried || !state.gate.is_free(class)) {
