--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -28,7 +28,10 @@
 struct Flags {
     #[options(no_short, help = "print this help")]
     help: bool,
-    #[options(no_short, help = "serve opaque requests on the users' platform; its settings file and the log flags count")]
+    #[options(
+        no_short,
+        help = "serve opaque requests on the users' platform; its settings file and the log flags count"
+    )]
     edge: bool,
     #[options(no_short, help = "address to listen on, such as 127.0.0.1:8100", meta = "ADDR")]
     listen: Option<String>,
--- a/cli/src/edge_main.rs
+++ b/cli/src/edge_main.rs
@@ -24,7 +24,9 @@
 /// Runs the process to its end.
 pub fn run(log_level: Option<&str>) -> ExitCode {
     let Ok(log_level) = log_level.unwrap_or("info").parse() else {
-        eprintln!("jasmineusherd: Setting \"log-level\": allowed is error, warn, info, debug or trace");
+        eprintln!(
+            "jasmineusherd: Setting \"log-level\": allowed is error, warn, info, debug or trace"
+        );
         return ExitCode::from(EXIT_SETTINGS);
     };
     if let Err(e) = logging::init_bounded(log_level) {
--- /dev/null
+++ b/cli/tests/edge_bed/mod.rs
@@ -0,0 +1,242 @@
+//! Stand-ins of the users' platform for tests: its store, its leafs, and daemon processes.
+
+pub mod leaf;
+pub mod store;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use testutils::eventually;
+use tokio::net::TcpStream;
+
+pub use leaf::Behaviour;
+pub use leaf::Leaf;
+pub use store::Store;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_jasmineusherd");
+/// Host of all requests in these tests.
+pub const HOST: &str = "salon.example";
+
+/// One daemon process.
+pub struct Daemon {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+/// Stand-ins and daemons.
+pub struct EdgeBed {
+    pub store: Arc<Store>,
+    pub leafs: Vec<Arc<Leaf>>,
+    pub daemons: Vec<Daemon>,
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
+
+impl Daemon {
+    fn start(number: usize, store: SocketAddr, seeds: &[SocketAddr], control: SocketAddr) -> Self {
+        let (callers, ready) = (free_addr(), free_addr());
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            "node_name = \"front-{number}\"\nzone = \"muc-a\"\nseeds = [{}]\n\
+             [zones]\nmuc-a = \"oberbayern\"\n\
+             [listen_addrs]\nfront = \"{callers}\"\nready_addr = \"{ready}\"\ncontrol = \"{control}\"\n\
+             [bounds]\nretry_ratio = 0.2\nretry_slack = 58\nretry_window_s = 10\ngrace_s = 4\n\
+             [platform]\naddress = \"{store}\"\n",
+            seeds.join(", ")
+        );
+        let name = format!("jasmineusher-edge-{}-{}.toml", std::process::id(), callers.port());
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let child = Self::spawn(&settings);
+        Self { callers, ready, control, settings, child }
+    }
+
+    fn spawn(settings: &PathBuf) -> Child {
+        let mut command = Command::new(DAEMON);
+        command.arg("--edge").env("JASMINEUSHER_BOOT", settings).stdout(Stdio::null());
+        command.spawn().expect("the daemon starts")
+    }
+
+    /// Kills the process and starts it again.
+    pub fn restart(&mut self) {
+        // It may have ended by itself; what counts is that the next one starts.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = Self::spawn(&self.settings);
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be asked").is_some()
+    }
+
+    /// Asks for readiness.
+    pub async fn is_ready(&self) -> bool {
+        let answer = Caller::connect(self.ready).await;
+        match answer {
+            Some(mut caller) => {
+                caller.get("/ready", "ready").await.is_some_and(|a| a.status == 200)
+            }
+            None => false,
+        }
+    }
+
+    /// Reads the state dump.
+    pub async fn state(&self) -> Option<Value> {
+        let answer = Caller::connect(self.control).await?.get("/state", "state").await?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl EdgeBed {
+    /// Starts `shards` groups of `replicas` leafs each, and daemons, and waits until all are ready.
+    pub async fn start(shards: usize, replicas: usize, daemons: usize) -> Self {
+        let store = Store::start().await;
+        let mut leafs = Vec::new();
+        for shard in 0..shards {
+            for replica in 0..replicas {
+                let (instance, group) = (format!("i-{shard}-{replica}"), format!("shard{shard}"));
+                let leaf = Leaf::start(&instance, &group).await;
+                store.put_leaf(&leaf, "ready", 1);
+                leafs.push(leaf);
+            }
+        }
+        store.put("op/config", &configuration(1, shards));
+        let controls: Vec<_> = (0..daemons).map(|_| free_addr()).collect();
+        let seeds = &controls[..daemons.min(2)];
+        let start =
+            |(n, &control): (usize, &SocketAddr)| Daemon::start(n, store.addr, seeds, control);
+        let daemons: Vec<_> = controls.iter().enumerate().map(start).collect();
+        let bed = Self { store, leafs, daemons };
+        for daemon in &bed.daemons {
+            eventually("a daemon is ready", async || daemon.is_ready().await.then_some(())).await;
+        }
+        bed
+    }
+
+    /// Returns how often leafs began to run a request.
+    pub fn runs(&self, id: &str) -> usize {
+        self.leafs.iter().map(|leaf| leaf.runs(id)).sum()
+    }
+}
+
+/// A configuration with one route over all shards, one to a leaf of the first shard that may be
+/// repeated, and one that may not.
+pub fn configuration(version: u64, shards: usize) -> Value {
+    let names: Vec<_> = (0..shards).map(|shard| format!("shard{shard}")).collect();
+    let services: Vec<_> = names.iter().map(|n| json!({"name": n, "max_conns": 26})).collect();
+    let route = |name: &str, kind: &str| {
+        json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2000, "latency_goal_ms": 1000, "priority": 1, "max_attempts": 2})
+    };
+    let mut all = route("all", "safe");
+    all["gather"] = json!(names);
+    all["top_k"] = json!(3);
+    all["min_coverage"] = json!(0.6);
+    let mut one = route("one", "safe");
+    one["service"] = json!("shard0");
+    let mut send = route("send", "unsafe");
+    send["service"] = json!("shard0");
+    json!({"version": version, "routes": [all, one, send], "services": services,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
+            "header_timeout_ms": 1000, "idle_timeout_ms": 5000}})
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: hyper::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Returns all values of a header, joined.
+    pub fn header(&self, name: &str) -> String {
+        let values: Vec<_> =
+            self.headers.get_all(name).iter().filter_map(|v| v.to_str().ok()).collect();
+        values.join(", ")
+    }
+}
+
+/// A caller's connection.
+pub struct Caller {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    /// Connects.
+    pub async fn connect(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            // The caller sees the end of the connection in its next request.
+            let _ = conn.await;
+        });
+        Some(Self { sender })
+    }
+
+    /// Sends a request and returns its answer, or nothing when the connection broke.
+    pub async fn get(&mut self, path: &str, id: &str) -> Option<Answer> {
+        self.send("GET", path, id, Bytes::new()).await
+    }
+
+    /// Sends a request with a body.
+    pub async fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: Bytes,
+    ) -> Option<Answer> {
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST)
+            .header("x-request-id", id)
+            .header("x-request-deadline", "2000")
+            .body(Full::new(body))
+            .expect("the request is sound");
+        self.sender.ready().await.ok()?;
+        let sent = tokio::time::timeout(Duration::from_secs(20), self.sender.send_request(req));
+        let (head, body) = Response::into_parts(sent.await.ok()?.ok()?);
+        let body = body.collect().await.ok()?.to_bytes();
+        Some(Answer { status: head.status.as_u16(), headers: head.headers, body })
+    }
+}
--- /dev/null
+++ b/cli/tests/edge_bed/store.rs
@@ -0,0 +1,176 @@
+//! A stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::Leaf;
+
+/// Items on one page; small, so that lists have several.
+const PAGE: usize = 3;
+
+/// What ails the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Ailment {
+    #[default]
+    None,
+    /// Every call is refused.
+    Busy,
+    /// The next watch learns that the history is lost.
+    Forgetful,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (Bytes, u64)>,
+    log: Vec<Value>,
+    ailment: Ailment,
+}
+
+/// The store.
+pub struct Store {
+    pub addr: SocketAddr,
+    state: Mutex<State>,
+}
+
+impl Store {
+    pub async fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let addr = listener.local_addr().expect("it is bound");
+        let state = Mutex::new(State { revision: 100, ..State::default() });
+        let store = Arc::new(Self { addr, state });
+        let serving = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = serving.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|req| store.handle(req));
+                    // A reader that goes away asks again.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        store
+    }
+
+    pub fn ail(&self, ailment: Ailment) {
+        self.state.lock().unwrap().ailment = ailment;
+    }
+
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().into());
+    }
+
+    pub fn put_bytes(&self, key: &str, value: Bytes) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        let event = item(key, &value, revision);
+        state.items.insert(key.to_owned(), (value, revision));
+        state.log.push(event);
+    }
+
+    pub fn put_leaf(&self, leaf: &Leaf, state: &str, sequence: u64) {
+        let value = json!({"service": leaf.group, "address": leaf.addr.to_string(), "zone": "muc-a",
+            "version": "v1", "max_concurrency": 2, "state": state, "cold_left_ms": 0,
+            "sequence": sequence, "born": 1_784_903_585_067_u64});
+        self.put(&format!("servers/{}", leaf.instance), &value);
+    }
+
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.log.push(json!({"key": key, "revision": revision, "deleted": true}));
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let query = query_of(req.uri().query().unwrap_or_default());
+        let (status, body) = match req.uri().path() {
+            _ if self.state.lock().unwrap().ailment == Ailment::Busy => (503, json!({})),
+            "/kv-key" => self.read(&query),
+            "/kv-range" => self.list(&query),
+            "/kv-watch" => self.watch(&query).await,
+            _ => (404, json!({})),
+        };
+        let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+        *response.status_mut() = status.try_into().expect("the status is sound");
+        Ok(response)
+    }
+
+    fn read(&self, query: &HashMap<String, String>) -> (u16, Value) {
+        let state = self.state.lock().unwrap();
+        let Some((value, revision)) = state.items.get(&query["key"]) else {
+            return (404, json!({}));
+        };
+        let mut body = item(&query["key"], value, *revision);
+        body["current_rev"] = json!(state.revision);
+        (200, body)
+    }
+
+    fn list(&self, query: &HashMap<String, String>) -> (u16, Value) {
+        let state = self.state.lock().unwrap();
+        let after = query.get("after").cloned().unwrap_or_default();
+        let fitting = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&query["prefix"]) && **key > after);
+        let mut items: Vec<_> = fitting.map(|(k, (v, r))| item(k, v, *r)).collect();
+        let has_more = items.len() > PAGE;
+        items.truncate(PAGE);
+        (200, json!({"items": items, "has_more": has_more, "current_rev": state.revision}))
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> (u16, Value) {
+        let after: u64 = query["after"].parse().expect("a revision");
+        let wait = Duration::from_millis(query["wait_ms"].parse().expect("milliseconds"));
+        let ends_at = Instant::now() + wait;
+        loop {
+            {
+                let mut state = self.state.lock().unwrap();
+                if state.ailment == Ailment::Forgetful {
+                    state.ailment = Ailment::None;
+                    return (410, json!({}));
+                }
+                let is_news = |event: &&Value| event["revision"].as_u64() > Some(after);
+                let events: Vec<_> = state.log.iter().filter(is_news).cloned().collect();
+                if !events.is_empty() || Instant::now() >= ends_at {
+                    return (200, json!({"events": events, "current_rev": state.revision}));
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+fn item(key: &str, value: &Bytes, revision: u64) -> Value {
+    json!({"key": key, "value": BASE64_STANDARD.encode(value), "revision": revision,
+        "created": revision, "lease": 0})
+}
+
+fn query_of(text: &str) -> HashMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -80,10 +80,7 @@
 /// One connection to a leaf, which carries one exchange at a time.
 pub trait LeafConnection: Send {
     /// Sends a request and returns the whole answer.
-    fn exchange<'a>(
-        &'a mut self,
-        req: Request<Bytes>,
-    ) -> BoxFuture<'a, Result<Response<Bytes>>>;
+    fn exchange<'a>(&'a mut self, req: Request<Bytes>) -> BoxFuture<'a, Result<Response<Bytes>>>;
 
     /// Whether another exchange may be tried on this connection.
     fn is_usable(&self, now: Instant) -> bool;
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -161,7 +161,11 @@
         self.exchange(conn, now).await
     }
 
-    async fn exchange(&self, conn: Box<dyn LeafConnection>, started: Instant) -> (Ended<P>, CallEnd) {
+    async fn exchange(
+        &self,
+        conn: Box<dyn LeafConnection>,
+        started: Instant,
+    ) -> (Ended<P>, CallEnd) {
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
         self.leaf.state().belief.begun(self.send.call, started);
         let outgoing = self.outgoing(started);
@@ -271,14 +275,15 @@
         let unknown = Effort::Estimated(elapsed.as_micros() as u64);
         let lost = |loss, effort| (Ended::Lost(loss, effort), CallEnd::Other);
         match outcome {
-            Some(RelayOutcome::Told(RelayEnd::Answered { json })) => match self.cx.codec.relayed(&json)
-            {
-                Ok(answer) if answer.call == self.send.call => {
-                    let call_end = self.note_answer(&answer, elapsed, now);
-                    (Ended::Answered(answer), call_end)
+            Some(RelayOutcome::Told(RelayEnd::Answered { json })) => {
+                match self.cx.codec.relayed(&json) {
+                    Ok(answer) if answer.call == self.send.call => {
+                        let call_end = self.note_answer(&answer, elapsed, now);
+                        (Ended::Answered(answer), call_end)
+                    }
+                    _ => lost(Loss::Garbled, unknown),
                 }
-                _ => lost(Loss::Garbled, unknown),
-            },
+            }
             Some(RelayOutcome::NotSent | RelayOutcome::Told(RelayEnd::NotSent)) => {
                 lost(Loss::NotSent, Effort::None)
             }
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -218,9 +218,10 @@
     // Calls always go to leafs directly here.
     let relays = RelayLinks::new(HttpClient::default(), KeyRing::new(Vec::new()));
     let tier = Tier::new(identity, backend, Arc::new(relays));
-    let regions = settings.regions.iter().filter_map(|(zone, region)| {
-        Some((Zone::try_from(zone.as_str()).ok()?, region.clone()))
-    });
+    let regions = settings
+        .regions
+        .iter()
+        .filter_map(|(zone, region)| Some((Zone::try_from(zone.as_str()).ok()?, region.clone())));
     *tier.distances.lock().unwrap() = Distances::new(settings.zone.clone(), regions.collect());
     Arc::new(tier)
 }
@@ -242,11 +243,7 @@
     loop {
         tokio::time::sleep(PAUSE_CHECK).await;
         if let Some(pause) = watch.look() {
-            log_event!(
-                warn,
-                Event::Paused,
-                paused_ms = pause.as_millis() as u64
-            );
+            log_event!(warn, Event::Paused, paused_ms = pause.as_millis() as u64);
             wake.notify_one();
         }
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -129,8 +129,7 @@
 
     /// Forgets hosts that nobody heard for a while. Returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
-        let is_silent =
-            |member: &Member| now.saturating_duration_since(member.heard_at) > SILENCE;
+        let is_silent = |member: &Member| now.saturating_duration_since(member.heard_at) > SILENCE;
         let silent: Vec<_> = self.members.iter().filter(|(_, m)| is_silent(m)).collect();
         let silent: Vec<String> = silent.into_iter().map(|(name, _)| name.clone()).collect();
         silent.iter().for_each(|name| {
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -206,14 +206,20 @@
     }
 
     /// Answers another host's exchange.
-    pub fn answer_exchange(&self, body: &[u8]) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
+    pub fn answer_exchange(
+        &self,
+        body: &[u8],
+    ) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
         let message: ExchangeMessage = rmp_serde::from_slice(body)?;
         self.take(message);
         Ok(encode(&self.message()))
     }
 
     /// Answers another host's question for changes.
-    pub fn answer_changes(&self, body: &[u8]) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
+    pub fn answer_changes(
+        &self,
+        body: &[u8],
+    ) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
         let ChangesRequest { after } = rmp_serde::from_slice(body)?;
         Ok(encode(&self.knowledge.subscription.lock().unwrap().since(after)))
     }
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -266,12 +266,7 @@
         in_turn.find(|v| is_whole(v, &view.leafs, now)).or(Some(newest)).cloned()
     }
 
-    fn driver(
-        &self,
-        front: &Front,
-        view: Arc<View>,
-        query: Query<Vec<Hit>>,
-    ) -> Driver<Vec<Hit>> {
+    fn driver(&self, front: &Front, view: Arc<View>, query: Query<Vec<Hit>>) -> Driver<Vec<Hit>> {
         let (tx, rx) = mpsc::unbounded_channel();
         let latency = front.tier.latency(&self.entry.index, Instant::now());
         let slow_quantile = 1.0 - self.entry.limits.extra_load.max(0.001) / 2.0;
@@ -350,4 +345,3 @@
         .shards()
         .all(|shard| snapshot.replicas(shard).iter().any(|&key| leafs.is_usable(key, now)))
 }
-
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -107,10 +107,7 @@
 }
 
 impl LeafConnection for HttpLeafConnection {
-    fn exchange<'a>(
-        &'a mut self,
-        req: Request<Bytes>,
-    ) -> BoxFuture<'a, Result<Response<Bytes>>> {
+    fn exchange<'a>(&'a mut self, req: Request<Bytes>) -> BoxFuture<'a, Result<Response<Bytes>>> {
         Box::pin(self.run(req))
     }
 
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -250,7 +250,8 @@
         let wait = queueing + service;
         let load = f64::from(state.gate.in_flight() + picked) / f64::from(leaf.host.slots);
         let typical = self.typical_work + self.distances.of(&leaf.host.zone);
-        let work = self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
+        let work =
+            self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
         let mut cost = queueing + state.belief.cost(typical, self.now) + work;
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
--- a/lib/src/opaque_catalogue.rs
+++ b/lib/src/opaque_catalogue.rs
@@ -179,10 +179,8 @@
         };
         let target = match raw.target {
             RawTarget::One(weights) => {
-                let weighted = |w: &RawWeight| WeightedGroup {
-                    group: groups.key(&w.group),
-                    weight: w.weight,
-                };
+                let weighted =
+                    |w: &RawWeight| WeightedGroup { group: groups.key(&w.group), weight: w.weight };
                 Target::One(weights.iter().map(weighted).collect())
             }
             RawTarget::All(names) => {
--- a/lib/src/outage.rs
+++ b/lib/src/outage.rs
@@ -23,38 +23,41 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Outage {
     heard_at: Instant,
-    failing: bool,
+    failing_since: Option<Instant>,
     bridged_until: Option<Instant>,
 }
 
 impl Outage {
     /// Starts when the process does.
     pub fn new(now: Instant) -> Self {
-        Self { heard_at: now, failing: false, bridged_until: None }
+        Self { heard_at: now, failing_since: None, bridged_until: None }
     }
 
     /// Records an answer.
     pub fn heard(&mut self, now: Instant) -> Turn {
-        let away = now.saturating_duration_since(self.heard_at);
-        let was_failing = std::mem::take(&mut self.failing);
         self.heard_at = now;
-        if !was_failing {
-            return Turn::Same;
-        }
+        let Some(since) = self.failing_since.take() else { return Turn::Same };
+        let away = now.saturating_duration_since(since);
         if away >= MIN_OUTAGE {
             self.bridged_until = Some(now + LAPSE_GRACE);
         }
         Turn::Regained(away)
     }
 
-    /// Records that no answer came.
-    pub fn failed(&mut self) -> Turn {
-        if std::mem::replace(&mut self.failing, true) { Turn::Same } else { Turn::Lost }
+    /// Records that no answer came to a call that was made at `asked_at`.
+    pub fn failed(&mut self, asked_at: Instant) -> Turn {
+        match self.failing_since {
+            Some(_) => Turn::Same,
+            None => {
+                self.failing_since = Some(asked_at);
+                Turn::Lost
+            }
+        }
     }
 
     /// Whether the last call failed.
     pub fn is_failing(&self) -> bool {
-        self.failing
+        self.failing_since.is_some()
     }
 
     /// Returns the time since the last answer.
@@ -64,7 +67,7 @@
 
     /// Returns until when leafs that lapsed while the platform was away stay usable.
     pub fn bridged_until(&self, now: Instant) -> Option<Instant> {
-        if self.failing {
+        if self.is_failing() {
             return Some(now + LAPSE_GRACE);
         }
         self.bridged_until.filter(|&until| now < until)
--- a/lib/src/relay_link.rs
+++ b/lib/src/relay_link.rs
@@ -204,9 +204,8 @@
     for item in batch {
         let RelayedCall { call: id, leaf, .. } = &item.relayed;
         let call = RelayCall { attempt: id.attempt, shard: id.shard, leaf: leaf.clone() };
-        let same = |query: &RelayQuery| {
-            query.query == id.query && query.index_version == id.version
-        };
+        let same =
+            |query: &RelayQuery| query.query == id.query && query.index_version == id.version;
         match queries.iter_mut().rev().find(|query| same(query)) {
             Some(query) => query.calls.push(call),
             None => queries.push(relay_query(&item.relayed, call, now)),
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -209,7 +209,8 @@
     while let Some(event) = events.recv().await {
         let (call, end) = match event {
             CallEvent::Answered(call, answer) => {
-                let json = serde_json::to_vec(&LeafAnswer::from(answer)).expect("message types serialise");
+                let json =
+                    serde_json::to_vec(&LeafAnswer::from(answer)).expect("message types serialise");
                 (call, RelayEnd::Answered { json })
             }
             CallEvent::Lost(call, Loss::NotSent) => (call, RelayEnd::NotSent),
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -59,7 +59,8 @@
 impl HostCounter for FleetCounter<'_> {
     fn count(&self, zone: &str) -> HostCounts {
         let region = self.regions.get(zone);
-        let is_near = |other: &str| other == zone || region.is_some() && self.regions.get(other) == region;
+        let is_near =
+            |other: &str| other == zone || region.is_some() && self.regions.get(other) == region;
         let near = self.fleet.count(is_near);
         let far = self.fleet.count(|other| !is_near(other));
         HostCounts { near, far, is_near: is_near(&self.fleet.own().zone) }
@@ -70,8 +71,7 @@
     /// Takes in changes and puts the view that they make in force.
     pub fn take(&self, set: ChangeSet, source: Source, now: Instant) {
         let bridged_until = self.outage.lock().unwrap().bridged_until(now);
-        let changed =
-            self.subscription.lock().unwrap().take(set, source, bridged_until, now);
+        let changed = self.subscription.lock().unwrap().take(set, source, bridged_until, now);
         if changed {
             self.renew_view(now);
         }
@@ -139,24 +139,19 @@
     pub async fn run(self) {
         let mut is_listed = false;
         loop {
-            let step = async {
-                if is_listed { self.watch().await } else { self.list().await }
-            };
+            let asked_at = Instant::now();
+            let step = async { if is_listed { self.watch().await } else { self.list().await } };
             let result = tokio::select! {
                 result = step => result,
                 () = self.wake.notified() => continue,
             };
-            self.note(&result);
+            self.note(&result, asked_at);
             match result {
                 Ok(Progress::Listed) => is_listed = true,
                 Ok(Progress::Quiet) => {}
                 Ok(Progress::Changed) => tokio::time::sleep(WATCH_PAUSE).await,
                 Ok(Progress::HistoryLost) => {
-                    log_event!(
-                        warn,
-                        Event::HistoryLost,
-                        position = self.knowledge.position().0
-                    );
+                    log_event!(warn, Event::HistoryLost, position = self.knowledge.position().0);
                     is_listed = false;
                 }
                 Err(_) => {
@@ -167,7 +162,7 @@
         }
     }
 
-    fn note(&self, result: &Result<Progress>) {
+    fn note(&self, result: &Result<Progress>, asked_at: Instant) {
         let now = Instant::now();
         let position = self.knowledge.position().0;
         let mut outage = self.knowledge.outage.lock().unwrap();
@@ -179,7 +174,7 @@
                 }
             }
             Err(e) => {
-                if outage.failed() == Turn::Lost {
+                if outage.failed(asked_at) == Turn::Lost {
                     let cause = crate::daemon::with_sources(e);
                     log_event!(warn, Event::PlatformSilent, position, cause);
                 }
--- a/lib/src/telemetry.rs
+++ b/lib/src/telemetry.rs
@@ -31,19 +31,21 @@
         let (lines, waiting) = mpsc::sync_channel::<Vec<u8>>(MAX_WAITING_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let told = dropped.clone();
-        std::thread::Builder::new().name("log".to_owned()).stack_size(64 << 10).spawn(move || {
-            while let Ok(mut batch) = waiting.recv() {
-                while let Ok(line) = waiting.try_recv() {
-                    batch.extend_from_slice(&line);
+        std::thread::Builder::new().name("log".to_owned()).stack_size(64 << 10).spawn(
+            move || {
+                while let Ok(mut batch) = waiting.recv() {
+                    while let Ok(line) = waiting.try_recv() {
+                        batch.extend_from_slice(&line);
+                    }
+                    let dropped = told.swap(0, Ordering::Relaxed);
+                    if dropped > 0 {
+                        batch.extend_from_slice(&dropped_line(dropped));
+                    }
+                    // Nobody is left to tell when the output itself is gone.
+                    let _ = output.write_all(&batch).and_then(|()| output.flush());
                 }
-                let dropped = told.swap(0, Ordering::Relaxed);
-                if dropped > 0 {
-                    batch.extend_from_slice(&dropped_line(dropped));
-                }
-                // Nobody is left to tell when the output itself is gone.
-                let _ = output.write_all(&batch).and_then(|()| output.flush());
-            }
-        })?;
+            },
+        )?;
         Ok(Self { lines, dropped })
     }
 }
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -164,7 +164,8 @@
     pub fn note_refused(&self, leaf: LeafKey, now: Instant) {
         let struck = self.crashes.lock().unwrap().refused(leaf, now);
         for strike in struck {
-            let event = if strike.condemned { Event::RequestCondemned } else { Event::RequestSuspected };
+            let event =
+                if strike.condemned { Event::RequestCondemned } else { Event::RequestSuspected };
             event.warn(&format!("request {:016x} leaf key {leaf}", strike.fingerprint.0));
         }
     }
--- /dev/null
+++ b/lib/tests/test_extra_budget.rs
@@ -0,0 +1,82 @@
+//! The fleet's budget for calls beyond the first, shared by hosts that do not ask each other.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineusher_lib::fleet_budget::ExtraUse;
+use jasmineusher_lib::fleet_budget::FleetBudget;
+use jasmineusher_lib::fleet_budget::FleetLimits;
+use jasmineusher_lib::ids::GroupKey;
+use proptest::prelude::*;
+
+const LIMITS: FleetLimits =
+    FleetLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) };
+const GROUP: GroupKey = GroupKey(3);
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Request,
+    Hedge,
+    Retry,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => Just(Step::Request),
+        3 => Just(Step::Hedge),
+        3 => Just(Step::Retry),
+        2 => (1_u64..800).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_window_of_all_hosts_stays_within_the_fleets_limits(
+        steps in proptest::collection::vec(step(), 1..600),
+    ) {
+        const HOSTS: usize = 9;
+        let start = Instant::now();
+        let mut now = start;
+        let mut hosts: Vec<_> = (0..HOSTS).map(|_| FleetBudget::new(LIMITS, HOSTS)).collect();
+        let (mut requests, mut extra) = (Vec::new(), Vec::new());
+        for (n, step) in steps.into_iter().enumerate() {
+            let host = &mut hosts[n % HOSTS];
+            match step {
+                Step::Request => { host.request(GROUP, now); requests.push(now); }
+                Step::Hedge if host.take(GROUP, ExtraUse::Hedge, now) => extra.push(now),
+                Step::Retry if host.take(GROUP, ExtraUse::Retry, now) => extra.push(now),
+                Step::Wait(ms) => now += Duration::from_millis(ms),
+                _ => {}
+            }
+        }
+        for &from in &extra {
+            let within = |at: &&Instant| **at >= from && **at < from + LIMITS.window;
+            let extra = extra.iter().filter(within).count() as f64;
+            // Requests of the window before count too, where they are more.
+            let before = |at: &&Instant| **at + LIMITS.window >= from && **at < from + LIMITS.window;
+            let requests = requests.iter().filter(before).count() as f64;
+            prop_assert!(extra <= requests * LIMITS.ratio + LIMITS.slack, "{extra} for {requests}");
+        }
+    }
+}
+
+#[test]
+fn hedges_leave_a_part_of_the_budget_for_retries() {
+    let now = Instant::now();
+    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1);
+    (0..100).for_each(|_| budget.request(GROUP, now));
+    while budget.take(GROUP, ExtraUse::Hedge, now) {}
+    assert!(budget.take(GROUP, ExtraUse::Retry, now));
+}
+
+#[test]
+fn groups_have_budgets_of_their_own_and_old_requests_no_longer_count() {
+    let now = Instant::now();
+    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1);
+    (0..100).for_each(|_| budget.request(GROUP, now));
+    assert!(!budget.take(GroupKey(4), ExtraUse::Retry, now));
+    assert!(!budget.take(GROUP, ExtraUse::Retry, now + Duration::from_secs(11)));
+}
--- /dev/null
+++ b/lib/tests/test_fleet_hosts.rs
@@ -0,0 +1,110 @@
+//! Hosts that learn of each other from seeds, and the strikes that they share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineusher_lib::crash_watch::CrashWatch;
+use jasmineusher_lib::crash_watch::StrikeCount;
+use jasmineusher_lib::fleet::AgedCard;
+use jasmineusher_lib::fleet::Fleet;
+use jasmineusher_lib::fleet::HostCard;
+use jasmineusher_lib::ids::Incarnation;
+use jasmineusher_lib::ids::LeafKey;
+use jasmineusher_lib::quarantine::Fingerprint;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn card(number: u8, incarnation: u64) -> HostCard {
+    HostCard {
+        name: format!("front-{number}"),
+        addr: SocketAddr::from(([10, 0, 0, number], 8224)),
+        zone: format!("zone-{}", number % 3),
+        incarnation: Incarnation(incarnation),
+        leaving: false,
+    }
+}
+
+fn fleet(number: u8) -> Fleet {
+    Fleet::new(card(number, 1), [card(0, 1).addr, card(1, 1).addr])
+}
+
+/// Lets every host exchange once a second with whom it picks.
+fn gossip(fleets: &mut [Fleet], seconds: u32, start: Instant, rng: &mut StdRng) -> Instant {
+    let mut now = start;
+    for _ in 0..seconds {
+        for asker in 0..fleets.len() {
+            let Some(peer) = fleets[asker].next_peer(rng) else { continue };
+            let Some(asked) = fleets.iter().position(|f| f.own().addr == peer) else { continue };
+            let (told, reply) = (fleets[asker].cards(rng, now), fleets[asked].cards(rng, now));
+            fleets[asked].heard(told, now);
+            fleets[asker].heard(reply, now);
+        }
+        fleets.iter_mut().for_each(|fleet| {
+            fleet.expire(now);
+        });
+        now += SECOND;
+    }
+    now
+}
+
+#[test]
+fn all_hosts_find_each_other_from_two_seeds() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut fleets: Vec<_> = (0..9).map(fleet).collect();
+    gossip(&mut fleets, 6, Instant::now(), &mut rng);
+    let counts: Vec<_> = fleets.iter().map(|fleet| fleet.count(|_| true)).collect();
+    assert_eq!(counts, [9; 9]);
+}
+
+#[test]
+fn host_that_ends_is_forgotten_and_a_new_run_of_it_is_news() {
+    let mut rng = StdRng::seed_from_u64(6);
+    let mut fleets: Vec<_> = (0..9).map(fleet).collect();
+    let now = gossip(&mut fleets, 6, Instant::now(), &mut rng);
+    fleets.pop();
+    let now = gossip(&mut fleets, 14, now, &mut rng);
+    assert_eq!(fleets[3].count(|_| true), 8);
+    let learned = fleets[3].heard(vec![AgedCard { card: card(8, 2), age: SECOND }], now);
+    assert_eq!(learned.joined, ["front-8"]);
+}
+
+#[test]
+fn older_news_of_a_host_never_replaces_newer() {
+    let now = Instant::now() + 10 * SECOND;
+    let mut fleet = fleet(0);
+    fleet.heard(vec![AgedCard { card: card(4, 2), age: SECOND }], now);
+    fleet.heard(vec![AgedCard { card: card(4, 1), age: 2 * SECOND }], now);
+    assert_eq!(fleet.members().next().map(|card| card.incarnation), Some(Incarnation(2)));
+}
+
+#[test]
+fn broken_connections_alone_condemn_no_request() {
+    let now = Instant::now();
+    let mut crashes = CrashWatch::default();
+    let request = Fingerprint(1);
+    (0..20).for_each(|leaf| crashes.broke(LeafKey(leaf), request, now));
+    assert!(!crashes.is_condemned(request, now));
+    assert_eq!(crashes.refused(LeafKey(99), now), []);
+}
+
+#[test]
+fn third_crash_condemns_a_request_on_every_host_that_hears_of_it() {
+    let now = Instant::now();
+    let (mut one, mut other) = (CrashWatch::default(), CrashWatch::default());
+    let request = Fingerprint(1);
+    for leaf in 0..2 {
+        one.broke(LeafKey(leaf), request, now);
+        let strikes = one.refused(LeafKey(leaf), now + SECOND);
+        assert!(strikes.iter().all(|strike| !strike.condemned));
+    }
+    one.counts(now).into_iter().for_each(|count| other.hear(count, now));
+    other.broke(LeafKey(7), request, now);
+    assert!(other.refused(LeafKey(7), now).iter().all(|strike| strike.condemned));
+    assert!(other.is_condemned(request, now));
+    one.hear(StrikeCount { fingerprint: request, strikes: 3 }, now);
+    assert!(one.is_condemned(request, now));
+    assert!(!one.is_condemned(request, now + 121 * SECOND));
+}
--- /dev/null
+++ b/lib/tests/test_opaque.rs
@@ -0,0 +1,171 @@
+//! Opaque requests: matching, weights, records, headers, and limits of connections.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use jasmineusher_lib::activity::Activity;
+use jasmineusher_lib::activity::ConnectionVerdict;
+use jasmineusher_lib::connection_share::HostCounts;
+use jasmineusher_lib::connection_share::share;
+use jasmineusher_lib::ids::IndexVersion;
+use jasmineusher_lib::opaque::keep_end_to_end;
+use jasmineusher_lib::opaque_catalogue::CallerLimits;
+use jasmineusher_lib::opaque_catalogue::GroupRegistry;
+use jasmineusher_lib::opaque_catalogue::OpaqueCatalogue;
+use jasmineusher_lib::opaque_catalogue::OpaqueEntry;
+use jasmineusher_lib::opaque_catalogue::RawOpaqueEntry;
+use jasmineusher_lib::opaque_catalogue::RawTarget;
+use jasmineusher_lib::opaque_catalogue::RawWeight;
+use jasmineusher_lib::records;
+use jasmineusher_lib::weights::Dealer;
+use proptest::prelude::*;
+
+fn entry(name: &str, prefix: &str) -> RawOpaqueEntry {
+    RawOpaqueEntry {
+        name: name.to_owned(),
+        host: "salon.example".to_owned(),
+        prefix: prefix.to_owned(),
+        target: RawTarget::One(vec![RawWeight { group: "portal".to_owned(), weight: 1.0 }]),
+        idempotent: true,
+        timeout_ms: 1_000,
+        goal_ms: Some(100),
+        attempts: 2,
+        rank: 1,
+        top: 0,
+        minimum_coverage: 0.0,
+    }
+}
+
+fn catalogue(entries: &[(&str, &str)]) -> OpaqueCatalogue {
+    let mut groups = GroupRegistry::default();
+    let checked = entries.iter().map(|(name, prefix)| {
+        OpaqueEntry::new(entry(name, prefix), &mut groups).expect("the entry is sound")
+    });
+    let checked = checked.collect();
+    OpaqueCatalogue::new(IndexVersion(1), CallerLimits::default(), checked, &[])
+}
+
+#[test]
+fn request_belongs_to_the_entry_with_the_longest_prefix_of_its_host() {
+    let catalogue = catalogue(&[("all", "/"), ("lookup", "/lookup/"), ("deep", "/lookup/deep/")]);
+    let find = |host, path| catalogue.find(host, path).map(|e| e.entry.name.as_str().to_owned());
+    assert_eq!(find("salon.example", "/lookup/deep/1").as_deref(), Some("deep"));
+    assert_eq!(find("salon.example", "/lookup/1").as_deref(), Some("lookup"));
+    assert_eq!(find("salon.example", "/lookup").as_deref(), Some("all"));
+    assert_eq!(find("other.example", "/lookup/1"), None);
+}
+
+#[test]
+fn unusable_entry_names_its_field_value_and_what_is_allowed() {
+    let faults: Vec<String> = [
+        RawOpaqueEntry { prefix: "lookup".to_owned(), ..entry("a", "/") },
+        RawOpaqueEntry { timeout_ms: 0, ..entry("a", "/") },
+        RawOpaqueEntry { attempts: 0, ..entry("a", "/") },
+        RawOpaqueEntry { minimum_coverage: 1.5, ..entry("a", "/") },
+        RawOpaqueEntry { target: RawTarget::All(Vec::new()), ..entry("a", "/") },
+        RawOpaqueEntry {
+            target: RawTarget::All(vec!["s".to_owned()]),
+            idempotent: false,
+            ..entry("a", "/")
+        },
+        RawOpaqueEntry { name: "A b".to_owned(), ..entry("a", "/") },
+    ]
+    .into_iter()
+    .map(|raw| OpaqueEntry::new(raw, &mut GroupRegistry::default()).unwrap_err().to_string())
+    .collect();
+    insta::assert_snapshot!(faults.join("\n"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn weights_hold_by_count(
+        weights in proptest::collection::vec(1_u32..100, 1..6),
+        picks in 1_usize..400,
+        start in 0.0_f64..1.0,
+    ) {
+        let total: f64 = weights.iter().map(|&w| f64::from(w)).sum();
+        let mut dealer = Dealer::new(weights.iter().map(|&w| f64::from(w)).collect(), start);
+        let mut counts = vec![0_u32; weights.len()];
+        (0..picks).for_each(|_| counts[dealer.pick()] += 1);
+        for (count, weight) in counts.iter().zip(&weights) {
+            let exact = picks as f64 * f64::from(*weight) / total;
+            prop_assert!((f64::from(*count) - exact).abs() <= weights.len() as f64, "{counts:?}");
+        }
+    }
+
+    #[test]
+    fn merged_records_are_the_greatest_of_all_parts(
+        parts in proptest::collection::vec(proptest::collection::vec(0_u8..4, 0..80), 0..6),
+        top in 0_usize..12,
+    ) {
+        let bodies: Vec<Bytes> = parts.iter().map(|p| Bytes::from(p.clone())).collect();
+        let merged = records::greatest(&bodies, top);
+        let mut expected: Vec<&[u8]> = parts.iter().flat_map(|p| p.chunks_exact(16)).collect();
+        expected.sort();
+        expected.reverse();
+        expected.truncate(top);
+        prop_assert_eq!(merged.as_ref(), expected.concat());
+    }
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-hop"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=3"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "3"),
+        ("x-end", "2"),
+    ] {
+        headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    keep_end_to_end(&mut headers);
+    assert_eq!(headers.len(), 1);
+    assert!(headers.contains_key("x-end"));
+}
+
+#[test]
+fn near_hosts_share_half_of_a_leafs_connections_and_far_ones_the_other() {
+    let near = HostCounts { near: 4, far: 5, is_near: true };
+    assert_eq!(share(26, near).connections, 3);
+    assert_eq!(share(26, HostCounts { is_near: false, ..near }).connections, 2);
+    let crowd = HostCounts { near: 28, far: 56, is_near: false };
+    let scarce = share(74, crowd);
+    assert_eq!(scarce.connections, 1);
+    let plenty = share(74, HostCounts { is_near: true, ..crowd });
+    assert!(scarce.idle_time < plenty.idle_time);
+}
+
+#[test]
+fn connection_is_closed_when_idle_for_long_and_cut_when_its_head_does_not_end() {
+    let now = Instant::now();
+    let limits = CallerLimits {
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+        ..CallerLimits::default()
+    };
+    let second = Duration::from_secs(1);
+    let mut activity = Activity::new(now);
+    assert_eq!(activity.verdict(&limits, false, now + 15 * second), ConnectionVerdict::Close);
+    assert!(matches!(
+        activity.verdict(&limits, false, now + 13 * second),
+        ConnectionVerdict::Keep(_)
+    ));
+    activity.read(now);
+    assert_eq!(activity.verdict(&limits, false, now + 3 * second), ConnectionVerdict::Abort);
+    activity.begin(now);
+    assert!(matches!(
+        activity.verdict(&limits, true, now + 60 * second),
+        ConnectionVerdict::Keep(_)
+    ));
+    activity.end(now + second);
+    assert_eq!(activity.verdict(&limits, true, now + 2 * second), ConnectionVerdict::Close);
+}
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -9,6 +9,7 @@
 use jasmineusher_lib::answer::OutcomeKind;
 use jasmineusher_lib::answer::QueryAnswer;
 use jasmineusher_lib::catalogue::Catalogue;
+use jasmineusher_lib::catalogue::Entry;
 use jasmineusher_lib::hosts::HostList;
 use jasmineusher_lib::hosts::LeafRegistry;
 use jasmineusher_lib::hosts::RawHostList;
@@ -138,8 +139,12 @@
     }
 
     fn start_over(entry: &str, suspicion: Suspicion, replicas: u16) -> Self {
+        Self::start_plan(plan(entry, Instant::now(), suspicion, replicas))
+    }
+
+    fn start_plan(plan: QueryPlan) -> Self {
         let now = Instant::now();
-        let query = Query::new(plan(entry, now, suspicion, replicas));
+        let query = Query::new(plan);
         let policy = EagerPolicy::default();
         let mut run = Self { query, policy, calls: Vec::new(), cancelled: Vec::new(), now };
         run.step(|query, now, policy, out| query.start(now, policy, out));
@@ -459,3 +464,64 @@
     drop(Query::<Vec<Hit>>::new(plan));
     assert!(snapshot.upgrade().is_none(), "a finished query keeps no version alive");
 }
+
+const GOAL: Duration = Duration::from_millis(100);
+
+/// A query of 5 shards that is useful from 4 on and has a goal.
+fn run_with_goal() -> Run {
+    let now = Instant::now();
+    let mut plan = plan("lookup", now, Suspicion::Clear, 2);
+    plan.goal_at = Some(now + GOAL);
+    plan.entry = Arc::new(Entry { minimum_coverage: 0.8, ..(*plan.entry).clone() });
+    Run::start_plan(plan)
+}
+
+#[test]
+fn useful_partial_answer_leaves_at_the_goal() {
+    let mut run = run_with_goal();
+    (0..4).for_each(|call| run.answer(call, LeafStatus::Ok));
+    run.pass(GOAL - Duration::from_millis(1));
+    assert!(!run.query.is_over(), "the last shard may still answer by the goal");
+    run.pass(Duration::from_millis(1));
+    assert!(run.query.is_over());
+    let answer = run.finish();
+    assert_eq!((answer.outcome, answer.coverage.contributed.len()), (OutcomeKind::Partial, 4));
+}
+
+#[test]
+fn answer_below_the_minimum_coverage_waits_on_and_leaves_as_soon_as_it_is_useful() {
+    let mut run = run_with_goal();
+    (0..3).for_each(|call| run.answer(call, LeafStatus::Ok));
+    run.pass(2 * GOAL);
+    assert!(!run.query.is_over());
+    run.answer(3, LeafStatus::Ok);
+    assert!(run.query.is_over());
+    assert_eq!(run.finish().outcome, OutcomeKind::Partial);
+}
+
+#[test]
+fn coverage_of_nine_tenths_needs_nine_of_ten() {
+    let now = Instant::now();
+    let mut plan = plan("lookup", now, Suspicion::Clear, 2);
+    // 0.6 x 5 is 3.0000000000000004 where it is not guarded.
+    plan.entry = Arc::new(Entry { minimum_coverage: 0.6, ..(*plan.entry).clone() });
+    plan.goal_at = Some(now);
+    let mut run = Run::start_plan(plan);
+    (0..3).for_each(|call| run.answer(call, LeafStatus::Ok));
+    assert!(run.query.is_over());
+}
+
+#[test]
+fn calls_that_were_not_sent_do_not_use_up_the_attempts() {
+    let now = Instant::now();
+    let mut plan = plan("lookup", now, Suspicion::Clear, 4);
+    plan.entry = Arc::new(Entry { attempts: 2, ..(*plan.entry).clone() });
+    let mut run = Run::start_plan(plan);
+    (0..4).for_each(|call| run.answer(call, LeafStatus::Ok));
+    run.lose(4, Loss::NotSent);
+    run.lose(5, Loss::NotSent);
+    run.answer(6, LeafStatus::Shed);
+    assert_eq!(run.calls.len(), 8);
+    run.answer(7, LeafStatus::Shed);
+    assert_eq!(run.calls.len(), 8, "two leafs were sent to, which is all that is allowed");
+}
