subscriber: further calls beside one that meets a silent store; requests wait 0.1 s for a first view

Cause: after a restart of all hosts during an outage of the store, the first read ran its whole limit of 1.5 s, so that the store's return was seen up to 1.3 s late; and requests that came in the 50 ms between listening and the first configuration used up their caller's only retry.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -18,6 +18,8 @@
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
+use crate::socket;
+
 /// The largest body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
 /// Idle connections kept to each host.
@@ -138,6 +140,10 @@
     pub fn from_local(local: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(socket::PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(socket::PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(socket::MAX_PROBES));
+        connector.set_tcp_user_timeout(Some(socket::UNACKNOWLEDGED_LIMIT));
         connector.set_local_address(local);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_max_idle_per_host(MAX_IDLE_PER_HOST);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod events;
 pub mod exchange;
 pub mod extra_calls;
+pub mod first_answer;
 pub mod fleet;
 pub mod fleet_budget;
 pub mod fleet_link;
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -52,6 +52,9 @@
 /// Longest idle time of a connection for a request that may not run twice: a leaf that closes idle
 /// connections could do so just as the request arrives.
 const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Longest time that a request waits for the first configuration of a process that has just started
+/// and is about to read it.
+const FIRST_VIEW_LIMIT: Duration = Duration::from_millis(100);
 /// Time after which a refused request is worth another try on another host.
 const RETRY_SOON: Duration = Duration::from_millis(40);
 /// Time after which leafs that were lost may be back.
@@ -93,7 +96,7 @@
     /// Answers one request. The leafs are told when the returned future is dropped.
     pub async fn answer(&self, req: OpaqueRequest, arrived: Instant) -> OpaqueAnswer {
         self.tier.counters.queries.increment();
-        let view = self.views.get();
+        let view = self.views.first(FIRST_VIEW_LIMIT).await;
         let req = Arc::new(req);
         match self.admit(&req, &view, arrived) {
             Ok(entry) => self.run(req, view, entry, arrived).await,
--- a/lib/src/opaque_view.rs
+++ b/lib/src/opaque_view.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 use std::sync::RwLock;
+use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::Notify;
+
 use crate::hosts::HostList;
 use crate::ids::GroupKey;
 use crate::ids::LeafKey;
@@ -49,21 +52,43 @@
 
 /// Where the view in force is found.
 #[derive(Debug)]
-pub struct ViewCell(RwLock<Arc<OpaqueView>>);
+pub struct ViewCell {
+    view: RwLock<Arc<OpaqueView>>,
+    changed: Notify,
+}
 
 impl ViewCell {
     /// Makes a cell in which nothing is known.
     pub fn new(now: Instant) -> Self {
-        Self(RwLock::new(Arc::new(OpaqueView::empty(now))))
+        Self { view: RwLock::new(Arc::new(OpaqueView::empty(now))), changed: Notify::new() }
     }
 
     /// Returns the view in force.
     pub fn get(&self) -> Arc<OpaqueView> {
-        self.0.read().unwrap().clone()
+        self.view.read().unwrap().clone()
+    }
+
+    /// Returns the view in force, or the first one that has a configuration if it comes in time.
+    pub async fn first(&self, limit: Duration) -> Arc<OpaqueView> {
+        let wait = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.get().catalogue.is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if self.get().catalogue.is_none() {
+            // Without a configuration in time, the request is refused.
+            let _ = tokio::time::timeout(limit, wait).await;
+        }
+        self.get()
     }
 
     /// Puts a view in force.
     pub fn set(&self, view: OpaqueView) {
-        *self.0.write().unwrap() = Arc::new(view);
+        *self.view.write().unwrap() = Arc::new(view);
+        self.changed.notify_waiters();
     }
 }
--- a/lib/src/socket.rs
+++ b/lib/src/socket.rs
@@ -12,11 +12,11 @@
 
 /// Idle time after which the kernel probes a connection, and the pause between its probes. A peer
 /// that went silent is found within a few of them.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is broken.
-const MAX_PROBES: u32 = 3;
+pub const MAX_PROBES: u32 = 3;
 /// Longest time that written bytes may stay unacknowledged.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
 
 /// Opens a connection that sends at once and notices a silent peer.
 pub async fn connect(peer: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -10,6 +10,7 @@
 
 use crate::connection_share::HostCounts;
 use crate::events::Event;
+use crate::first_answer::first_answer;
 use crate::fleet::Fleet;
 use crate::fleet_budget::FleetBudget;
 use crate::ids::Revision;
@@ -184,10 +185,11 @@
 
     /// Reads everything. Changes made meanwhile come with the watch from the first page's revision.
     async fn list(&self) -> Result<Progress> {
-        let Page { mut changes, position, .. } = self.publications.configuration().await?;
+        let Page { mut changes, position, .. } =
+            first_answer(|| self.publications.configuration()).await?;
         let mut after = None;
         loop {
-            let page = self.publications.list(after).await?;
+            let page = first_answer(|| self.publications.list(after.clone())).await?;
             changes.extend(page.changes);
             after = page.next;
             if after.is_none() {
@@ -202,7 +204,14 @@
 
     async fn watch(&self) -> Result<Progress> {
         let after = self.knowledge.position();
-        match self.publications.watch(after, WATCH_TIME).await? {
+        // After a failure, an answer tells more than a change: it comes at once.
+        let is_failing = self.knowledge.outage.lock().unwrap().is_failing();
+        let watched = if is_failing {
+            first_answer(|| self.publications.watch(after, Duration::ZERO)).await?
+        } else {
+            self.publications.watch(after, WATCH_TIME).await?
+        };
+        match watched {
             Watched::HistoryLost => Ok(Progress::HistoryLost),
             Watched::Changes { changes, position } => {
                 self.heard();
