--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -407,12 +407,18 @@
     }
 }
 
-/// Opens a connection ahead of need. A leaf that cannot be reached is tried when it is needed.
+/// Opens a connection ahead of need. A leaf that cannot be reached is left out for a while.
 pub async fn warm_up(tier: Arc<Tier>, leaf: Arc<Leaf>) {
-    if let Acquired::MayOpen = leaf.pool.acquire(ANY_IDLE_TIME, Instant::now())
-        && let Ok(conn) = open_connection(&tier, &leaf, CONNECT_LIMIT).await
-    {
-        leaf.pool.put_back(conn, Instant::now());
+    if let Acquired::MayOpen = leaf.pool.acquire(ANY_IDLE_TIME, Instant::now()) {
+        match open_connection(&tier, &leaf, CONNECT_LIMIT).await {
+            Ok(conn) => leaf.pool.put_back(conn, Instant::now()),
+            Err(e) if e.is_refused() => {
+                leaf.state().belief.refused(Instant::now());
+            }
+            Err(_) => {
+                leaf.state().belief.lost(Instant::now());
+            }
+        }
     }
 }
 
--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -1,12 +1,19 @@
 //! This host's share of the connections that a leaf accepts from all hosts.
 //!
 //! Hosts near a leaf share one half, as they call it for most requests; all others share the other
-//! half for second calls. Every host may open one. Where there are more hosts than connections,
-//! those far away close theirs soon after use, so that the leaf's limit is rarely met; beyond it
-//! the leaf resets a connection before a request is written, which costs one more try.
+//! half for second calls. Every host may open one. Where there are more hosts than connections, a
+//! part of them, chosen by hashing, keeps a connection; the others close theirs soon after use, so
+//! that the leaf's limit is rarely met. Beyond it the leaf resets a connection before a request is
+//! written, which costs one more try.
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::HostName;
+use crate::ids::LeafName;
+
 /// Part of a leaf's connections that the hosts near it share.
 const NEAR_PART: f64 = 0.5;
 /// Idle time after which connections are closed where hosts outnumber them.
@@ -32,10 +39,12 @@
     pub connections: u32,
     /// How long it may keep one that is idle.
     pub idle_time: Duration,
+    /// Whether it keeps one open ahead of need.
+    pub is_kept: bool,
 }
 
-/// Works out the share of this host.
-pub fn share(limit: u32, hosts: HostCounts) -> ConnectionShare {
+/// Works out the share of the host `own` at a leaf.
+pub fn share(limit: u32, hosts: HostCounts, own: &HostName, leaf: &LeafName) -> ConnectionShare {
     let (part, count) = match hosts {
         HostCounts { far: 0, near, .. } => (1.0, near),
         HostCounts { near: 0, far, .. } => (1.0, far),
@@ -43,6 +52,13 @@
         HostCounts { far, .. } => (NEAR_PART, far),
     };
     let exact = f64::from(limit) * part / count.max(1) as f64;
-    let idle_time = if exact < 1.0 { SCARCE_IDLE_TIME } else { IDLE_TIME };
-    ConnectionShare { connections: (exact as u32).max(1), idle_time }
+    let is_kept = exact >= 1.0 || draw(own, leaf) < exact;
+    let idle_time = if is_kept { IDLE_TIME } else { SCARCE_IDLE_TIME };
+    ConnectionShare { connections: (exact as u32).max(1), idle_time, is_kept }
+}
+
+/// Draws a number from 0 to 1 that is the same on every call for a host and a leaf.
+fn draw(own: &HostName, leaf: &LeafName) -> f64 {
+    let seed = xxh3_64(own.as_str().as_bytes());
+    xxh3_64_with_seed(leaf.as_str().as_bytes(), seed) as f64 / u64::MAX as f64
 }
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -116,7 +116,7 @@
                 reply(StatusCode::OK, state)
             }
             EXCHANGE_PATH => answered(self.link.answer_exchange(&body)),
-            CHANGES_PATH => answered(self.link.answer_changes(&body)),
+            CHANGES_PATH => answered(self.link.answer_changes(&body).await),
             _ => reply(StatusCode::NOT_FOUND, "no such path"),
         })
     }
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -1,6 +1,7 @@
 //! One process that serves opaque requests: wires its parts, and leaves gracefully.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,9 +13,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use crate::belief::Usability;
 use crate::call;
 use crate::caller_codec::CallerCodec;
-use crate::connection_share;
 use crate::distance::Distances;
 use crate::edge::Edge;
 use crate::edge_control::EdgeControl;
@@ -27,6 +28,7 @@
 use crate::http_client::HttpClient;
 use crate::http_leaf::HttpLeafBackend;
 use crate::ids::HostName;
+use crate::ids::LeafKey;
 use crate::ids::Zone;
 use crate::log_event;
 use crate::metrics::Metrics;
@@ -56,10 +58,12 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// How often a process looks whether it was paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(250);
+/// Shortest time between two connections that are opened ahead of need to one leaf.
+const KEEP_PAUSE: Duration = Duration::from_secs(3);
 /// Pause between two connections that are opened ahead of need.
 const WARM_UP_PAUSE: Duration = Duration::from_millis(2);
-/// How often idle connections to leafs are looked at.
-const IDLE_CHECK: Duration = Duration::from_millis(500);
+/// How often connections to leafs are looked at.
+const IDLE_CHECK: Duration = Duration::from_millis(250);
 
 /// Checked settings of a process that serves opaque requests.
 #[derive(Clone, Debug)]
@@ -148,6 +152,7 @@
             regions: settings.regions.clone(),
             budget: budget.clone(),
             views: views.clone(),
+            news: Notify::new(),
         });
         let front =
             OpaqueFront::new(tier.clone(), views.clone(), parts.leafs, budget, metrics.clone());
@@ -162,12 +167,11 @@
             tier: tier.clone(),
             ready_path: parts.ready_path,
         });
-        let subscriber = Subscriber::new(knowledge.clone(), parts.publications);
+        let subscriber = Subscriber::new(knowledge.clone(), parts.publications, link.clone());
         tokio::spawn(watch_for_pauses(subscriber.wake.clone()));
         tokio::spawn(subscriber.run());
         tokio::spawn(knowledge.clone().expire_lapsed());
-        tokio::spawn(close_idle(knowledge.clone()));
-        tokio::spawn(warm_up(knowledge.clone(), tier.clone()));
+        tokio::spawn(keep_connections(knowledge.clone(), tier.clone()));
         tokio::spawn(link.run());
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
@@ -249,33 +253,31 @@
     }
 }
 
-/// Closes connections to leafs that were idle for too long.
-async fn close_idle(knowledge: Arc<Knowledge>) {
+/// Closes connections to leafs that were idle for too long, and opens those that are kept ahead of
+/// need, a few at a time.
+async fn keep_connections(knowledge: Arc<Knowledge>, tier: Arc<Tier>) {
+    let mut opened_at: HashMap<LeafKey, Instant> = HashMap::new();
     loop {
         tokio::time::sleep(IDLE_CHECK).await;
-        let now = Instant::now();
-        let view = knowledge.views.get();
-        for leaf in view.leafs.iter() {
-            let counts = knowledge.host_counts(leaf.host.zone.as_str());
-            let idle_time = connection_share::share(leaf.host.connections, counts).idle_time;
-            leaf.pool.close_idle(idle_time, now);
-        }
-    }
-}
-
-/// Opens a connection to each leaf of the own zone that has none, a few at a time, so that the first
-/// requests after a start need not wait for them.
-async fn warm_up(knowledge: Arc<Knowledge>, tier: Arc<Tier>) {
-    let mut warmed = std::collections::HashSet::new();
-    loop {
         let view = knowledge.views.get();
         for leaf in view.leafs.iter() {
-            let is_near = leaf.host.zone == tier.identity.zone;
-            if is_near && warmed.insert(leaf.key) && leaf.pool.open() == 0 {
+            let now = Instant::now();
+            let (detail, usability) = {
+                let state = leaf.state();
+                (state.detail.clone(), state.belief.usability(now))
+            };
+            if let Some(idle_time) = detail.idle_time {
+                leaf.pool.close_idle(idle_time, now);
+            }
+            let is_wanted = detail.is_kept && usability == Usability::Usable;
+            let is_due = opened_at
+                .get(&leaf.key)
+                .is_none_or(|&at| now.saturating_duration_since(at) >= KEEP_PAUSE);
+            if is_wanted && is_due && leaf.pool.open() == 0 {
+                opened_at.insert(leaf.key, now);
                 tokio::spawn(call::warm_up(tier.clone(), leaf.clone()));
                 tokio::time::sleep(WARM_UP_PAUSE).await;
             }
         }
-        tokio::time::sleep(IDLE_CHECK).await;
     }
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -86,6 +86,8 @@
     PeerForged = 403,
     /// A peer was not heard for a while and is left out.
     PeerSilent = 404,
+    /// A host that reads the platform for its zone failed this one, which reads for itself.
+    ReaderLost = 405,
     /// A request was answered.
     RequestAnswered = 500,
     /// A request was refused before any leaf was called; it has not run.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -16,13 +16,20 @@
 use serde::Serialize;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::Incarnation;
 
 /// Time without news after which a host is gone.
-const SILENCE: Duration = Duration::from_secs(10);
+const SILENCE: Duration = Duration::from_secs(20);
+/// Hosts of a zone that read the platform for the others.
+const READERS_PER_ZONE: usize = 2;
+/// Hosts of a zone from which on some read for the others.
+const MIN_FOLLOWED_ZONE: usize = 6;
+/// Time without news after which a host is not relied on as a reader.
+const READER_SILENCE: Duration = Duration::from_secs(8);
 /// Cards that one message carries, beside the sender's own.
-const MAX_CARDS: usize = 24;
+const MAX_CARDS: usize = 128;
 /// Share of exchanges that go to another zone.
 const OTHER_ZONE_SHARE: f64 = 0.2;
 /// Share of exchanges that go to a seed, so that parts of the fleet that lost each other meet again.
@@ -170,10 +177,25 @@
         others + usize::from(fits(&self.own.zone))
     }
 
-    /// Returns where the hosts of the own zone are that are not leaving, ordered by name.
-    pub fn zone_peers(&self) -> impl Iterator<Item = &HostCard> {
-        let cards = self.members.values().map(|member| &member.card);
-        cards.filter(|card| card.zone == self.own.zone && !card.leaving)
+    /// Returns the hosts of the own zone that read the platform for the others, if this host is not
+    /// one of them. In a zone of few hosts each reads for itself. Hosts that see different members
+    /// for a while read more than needed, never less.
+    pub fn readers(&self, now: Instant) -> Vec<SocketAddr> {
+        let is_fit = |member: &&Member| {
+            let age = now.saturating_duration_since(member.heard_at);
+            member.card.zone == self.own.zone && !member.card.leaving && age < READER_SILENCE
+        };
+        let others = self.members.values().filter(is_fit).map(|member| &member.card);
+        let mut cards: Vec<_> = others.chain([&self.own]).collect();
+        if cards.len() < MIN_FOLLOWED_ZONE {
+            return Vec::new();
+        }
+        cards.sort_by_key(|card| xxh3_64(card.name.as_bytes()));
+        cards.truncate(READERS_PER_ZONE);
+        if cards.iter().any(|card| card.name == self.own.name) {
+            return Vec::new();
+        }
+        cards.into_iter().map(|card| card.addr).collect()
     }
 
     /// Returns all cards, for the state dump.
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 use thiserror::Error;
 
 use crate::crash_watch::StrikeCount;
@@ -40,6 +42,8 @@
 const HASTY_TIME: Duration = Duration::from_secs(2);
 /// Time allowed for one call.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// How long a host waits for what another one hears from the platform.
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_200);
 /// Silence of the platform after which hosts ask each other for what it published.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
@@ -55,10 +59,23 @@
 }
 
 /// Asks for published changes.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct ChangesRequest {
     /// The asker knows everything up to this revision.
     pub after: Revision,
+    /// How long the answer may wait for the next change.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub wait: Duration,
+}
+
+/// Answers with published changes.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ChangesReply {
+    /// The changes.
+    pub set: ChangeSet,
+    /// Whether the platform answers the host that is asked.
+    pub is_fresh: bool,
 }
 
 /// Why an exchange failed. Names the step and the peer.
@@ -141,26 +158,42 @@
 
     async fn exchange(&self, peer: SocketAddr) -> Result<()> {
         self.tier.counters.peer_exchanges.increment();
-        let reply: ExchangeMessage = self.call(peer, EXCHANGE_PATH, &self.message()).await?;
+        let reply: ExchangeMessage =
+            self.call(peer, EXCHANGE_PATH, &self.message(), CALL_LIMIT).await?;
         let their_position = reply.position;
         self.take(reply);
         let after = self.knowledge.position();
         if their_position > after && self.is_blind() {
-            let set: ChangeSet = self.call(peer, CHANGES_PATH, &ChangesRequest { after }).await?;
-            self.knowledge.take(set, Source::Peer, Instant::now());
+            self.ask_changes(peer, Duration::ZERO).await?;
         }
         Ok(())
     }
 
+    /// Waits for what another host hears from the platform. Returns whether the platform answers
+    /// that host.
+    pub async fn follow(&self, reader: SocketAddr) -> Result<bool> {
+        self.ask_changes(reader, FOLLOW_WAIT).await
+    }
+
+    async fn ask_changes(&self, peer: SocketAddr, wait: Duration) -> Result<bool> {
+        let after = self.knowledge.position();
+        let request = ChangesRequest { after, wait };
+        let limit = wait + CALL_LIMIT / 2;
+        let reply: ChangesReply = self.call(peer, CHANGES_PATH, &request, limit).await?;
+        self.knowledge.take(reply.set, Source::Peer, Instant::now());
+        Ok(reply.is_fresh)
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         peer: SocketAddr,
         path: &'static str,
         message: &impl Serialize,
+        limit: Duration,
     ) -> Result<T> {
         let body = encode(message);
         self.tier.counters.peer_bytes.add(body.len() as u64);
-        let reply = self.client.call(HttpCall::post(peer, path, body, CALL_LIMIT)).await;
+        let reply = self.client.call(HttpCall::post(peer, path, body, limit)).await;
         let reply = reply.map_err(|source| FleetLinkError::Call { peer, source })?;
         if reply.status != 200 {
             return Err(FleetLinkError::Refused { peer, status: reply.status });
@@ -216,12 +249,15 @@
     }
 
     /// Answers another host's question for changes.
-    pub fn answer_changes(
+    pub async fn answer_changes(
         &self,
         body: &[u8],
     ) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
-        let ChangesRequest { after } = rmp_serde::from_slice(body)?;
-        Ok(encode(&self.knowledge.subscription.lock().unwrap().since(after)))
+        let ChangesRequest { after, wait } = rmp_serde::from_slice(body)?;
+        self.knowledge.position_after(after, wait.min(FOLLOW_WAIT)).await;
+        let set = self.knowledge.subscription.lock().unwrap().since(after);
+        let is_fresh = !self.is_blind();
+        Ok(encode(&ChangesReply { set, is_fresh }))
     }
 }
 
--- a/lib/src/hosts.rs
+++ b/lib/src/hosts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
@@ -87,6 +88,10 @@
     /// Connections that this host may open itself, where that does not follow from the daemons in
     /// the host list.
     pub own_connections: Option<u32>,
+    /// How long an idle connection to it is kept.
+    pub idle_time: Option<Duration>,
+    /// Whether a connection to it is kept open ahead of need.
+    pub is_kept: bool,
     /// Until when it says that it is slow after its start.
     pub cold_until: Option<Instant>,
     /// What it calls itself towards callers that name the leaf that they mean.
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -18,6 +18,7 @@
 use crate::gate::Gate;
 use crate::hosts::HostList;
 use crate::hosts::HostState;
+use crate::hosts::LeafDetail;
 use crate::hosts::LeafHost;
 use crate::ids::HostName;
 use crate::ids::LeafKey;
@@ -51,6 +52,8 @@
     pub retries: ExtraLoadBudget,
     /// How this host reaches the leaf.
     pub route: Route,
+    /// What the platform says of it now.
+    pub detail: LeafDetail,
 }
 
 /// Returns the most calls that this host may have in flight at a leaf. Through relays it is the
@@ -83,7 +86,8 @@
         let pool = Pool::new(route.connections());
         let gate = Gate::new(window(&host, &route));
         let retries = ExtraLoadBudget::for_leaf();
-        let state = LeafState { gate, belief, retries, route };
+        let detail = host.detail.clone();
+        let state = LeafState { gate, belief, retries, route, detail };
         Self { key, pool, host, state: Mutex::new(state) }
     }
 
@@ -102,6 +106,7 @@
         let mut state = self.state();
         state.gate.set_max_window(window(host, &route));
         state.route = route;
+        state.detail = host.detail.clone();
         state.belief.listed(host.state == HostState::Leaving);
         state.belief.cold(host.detail.cold_until);
     }
@@ -253,6 +258,9 @@
         let work =
             self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
         let mut cost = queueing + state.belief.cost(typical, self.now) + work;
+        if leaf.pool.idle() == 0 {
+            cost += self.distances.of(&leaf.host.zone);
+        }
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
         }
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -105,6 +105,11 @@
         self.state.lock().unwrap().open
     }
 
+    /// Returns the number of idle connections.
+    pub fn idle(&self) -> usize {
+        self.state.lock().unwrap().idle.len()
+    }
+
     /// Returns the limit.
     pub fn limit(&self) -> u32 {
         self.state.lock().unwrap().limit
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
 use crate::connection_share::HostCounts;
@@ -13,6 +14,7 @@
 use crate::first_answer::first_answer;
 use crate::fleet::Fleet;
 use crate::fleet_budget::FleetBudget;
+use crate::fleet_link::FleetLink;
 use crate::ids::Revision;
 use crate::log_event;
 use crate::opaque_view::ViewCell;
@@ -33,6 +35,8 @@
 const WATCH_TIME: Duration = Duration::from_secs(4);
 /// Pause between two watches, in which changes gather; each watch is a priced call.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Time for which a host reads for itself after one that reads for others failed it.
+const AVOID_TIME: Duration = Duration::from_secs(5);
 /// Shortest and longest pause after a call that failed.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 100..300;
 
@@ -50,6 +54,8 @@
     pub budget: Arc<Mutex<FleetBudget>>,
     /// The view in force.
     pub views: Arc<ViewCell>,
+    /// Told whenever changes came.
+    pub news: Notify,
 }
 
 struct FleetCounter<'a> {
@@ -73,11 +79,27 @@
     pub fn take(&self, set: ChangeSet, source: Source, now: Instant) {
         let bridged_until = self.outage.lock().unwrap().bridged_until(now);
         let changed = self.subscription.lock().unwrap().take(set, source, bridged_until, now);
+        self.news.notify_waiters();
         if changed {
             self.renew_view(now);
         }
     }
 
+    /// Waits until something is known beyond a revision, or until the time is over.
+    pub async fn position_after(&self, after: Revision, limit: Duration) {
+        let wait = async {
+            loop {
+                let news = self.news.notified();
+                if self.position() > after {
+                    return;
+                }
+                news.await;
+            }
+        };
+        // Without news in time, the asker learns that there are none.
+        let _ = tokio::time::timeout(limit, wait).await;
+    }
+
     /// Puts the view of what is known now in force.
     pub fn renew_view(&self, now: Instant) {
         let fleet = self.fleet.lock().unwrap();
@@ -87,12 +109,6 @@
         self.views.set(view);
     }
 
-    /// Counts the hosts near to and far from a zone.
-    pub fn host_counts(&self, zone: &str) -> HostCounts {
-        let fleet = self.fleet.lock().unwrap();
-        FleetCounter { fleet: &fleet, regions: &self.regions }.count(zone)
-    }
-
     /// Returns the revision up to which everything is known.
     pub fn position(&self) -> Revision {
         self.subscription.lock().unwrap().position()
@@ -119,6 +135,8 @@
 pub struct Subscriber {
     knowledge: Arc<Knowledge>,
     publications: Box<dyn Publications>,
+    link: Arc<FleetLink>,
+    avoid_readers_until: Instant,
     /// Ends the present wait, after a pause of the process.
     pub wake: Arc<Notify>,
 }
@@ -132,14 +150,22 @@
 
 impl Subscriber {
     /// Makes a reader.
-    pub fn new(knowledge: Arc<Knowledge>, publications: Box<dyn Publications>) -> Self {
-        Self { knowledge, publications, wake: Arc::default() }
+    pub fn new(
+        knowledge: Arc<Knowledge>,
+        publications: Box<dyn Publications>,
+        link: Arc<FleetLink>,
+    ) -> Self {
+        let avoid_readers_until = Instant::now();
+        Self { knowledge, publications, link, avoid_readers_until, wake: Arc::default() }
     }
 
     /// Follows the platform for as long as the process runs.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let mut is_listed = false;
         loop {
+            if is_listed && self.follow().await {
+                continue;
+            }
             let asked_at = Instant::now();
             let step = async { if is_listed { self.watch().await } else { self.list().await } };
             let result = tokio::select! {
@@ -163,6 +189,31 @@
         }
     }
 
+    /// Learns from a host of the zone that reads the platform, if there is one that is to be relied
+    /// on. Returns whether it did.
+    async fn follow(&mut self) -> bool {
+        let now = Instant::now();
+        let readers = self.knowledge.fleet.lock().unwrap().readers(now);
+        let Some(&reader) = readers.choose(&mut rand::rng()) else { return false };
+        if now < self.avoid_readers_until {
+            return false;
+        }
+        let followed = tokio::select! {
+            followed = self.link.follow(reader) => followed,
+            () = self.wake.notified() => Ok(false),
+        };
+        let is_fresh = matches!(followed, Ok(true));
+        if is_fresh {
+            self.heard();
+        } else {
+            self.avoid_readers_until = now + AVOID_TIME;
+            let cause = followed.err().map(|e| crate::daemon::with_sources(&e));
+            let cause = cause.unwrap_or_else(|| "the platform does not answer it".to_owned());
+            log_event!(warn, Event::ReaderLost, reader = %reader, cause);
+        }
+        is_fresh
+    }
+
     fn note(&self, result: &Result<Progress>, asked_at: Instant) {
         let now = Instant::now();
         let position = self.knowledge.position().0;
--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -251,11 +251,13 @@
             let group = self.groups.key(&fed.leaf.group);
             let limit = self.catalogue.as_ref().and_then(|c| c.connections(group));
             let limit = limit.unwrap_or(UNKNOWN_CONNECTIONS);
-            let connections = share(limit, hosts.count(&fed.leaf.zone)).connections;
             let Some(mut host) = leaf_host(fed) else { continue };
+            let share = share(limit, hosts.count(&fed.leaf.zone), &self.own, &host.name);
             host.connections = limit;
             host.detail = LeafDetail {
-                own_connections: Some(connections),
+                own_connections: Some(share.connections),
+                idle_time: Some(share.idle_time),
+                is_kept: share.is_kept,
                 cold_until: fed.cold_until,
                 instance: Some(fed.leaf.instance.as_str().into()),
                 group,
