belief: median of the last five calls; budget: decisive hedges first, more of the slack

Cause: at 1.2 calls a second to each leaf, one pause moved the mean for seconds, and a host's part of the slack was below one call, so that slow shards were not hedged at all.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -10,11 +10,12 @@
 
 use crate::leaf_protocol::CallId;
 
-/// Weight of a new sample in the running means of latency and of failures.
-const SAMPLE_WEIGHT: f64 = 0.25;
-/// Most that one sample counts for, as a multiple of the mean: a single pause is no slow leaf.
-const MAX_SAMPLE_FACTOR: f64 = 2.5;
-/// Samples after which the mean is believed wholly; before that, what is typical counts too.
+/// Weight of a new sample in the running mean of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Latencies whose median counts: a pause now and then does not move it, and a leaf that has become
+/// slow shows after three calls.
+const RECENT_SAMPLES: usize = 5;
+/// Samples after which the median is believed wholly; before that, what is typical counts too.
 const TRUSTED_SAMPLES: f64 = 3.0;
 /// Time in which an observation loses most of its weight against what is typical, so that a leaf
 /// that was slow or failed is tried again now and then.
@@ -61,8 +62,9 @@
 /// Observations of one leaf.
 #[derive(Clone, Debug, Default)]
 pub struct Belief {
-    latency_us: f64,
-    samples: u32,
+    recent: [Duration; RECENT_SAMPLES],
+    samples: usize,
+    median: Duration,
     failure_rate: f64,
     sampled_at: Option<Instant>,
     outstanding: Vec<Outstanding>,
@@ -104,7 +106,7 @@
     /// Records that a call was cancelled after `elapsed` without an answer, which is a lower bound
     /// of its latency.
     pub fn unanswered(&mut self, elapsed: Duration, now: Instant) {
-        if elapsed.as_micros() as f64 > self.latency_us {
+        if elapsed > self.median {
             self.sample(elapsed, 0.0, now);
         }
     }
@@ -135,19 +137,17 @@
     }
 
     fn sample(&mut self, latency: Duration, failure: f64, now: Instant) {
-        let sample = latency.as_micros() as f64;
-        self.samples = self.samples.saturating_add(1);
-        if self.latency_us == 0.0 {
-            self.latency_us = sample;
-        } else {
-            let sample = sample.min(self.latency_us * MAX_SAMPLE_FACTOR);
-            self.latency_us += (sample - self.latency_us) * SAMPLE_WEIGHT;
-        }
+        self.recent[self.samples % RECENT_SAMPLES] = latency;
+        self.samples += 1;
+        let mut sorted = self.recent;
+        let known = &mut sorted[..self.samples.min(RECENT_SAMPLES)];
+        known.sort_unstable();
+        self.median = known[(known.len() - 1) / 2];
         self.sample_failure(failure, now);
     }
 
     fn sample_failure(&mut self, failure: f64, now: Instant) {
-        self.failure_rate += (failure - self.failure_rate) * SAMPLE_WEIGHT;
+        self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
         self.sampled_at = Some(now);
     }
 
@@ -209,9 +209,9 @@
         }
     }
 
-    /// Returns the mean time per call; zero before the first answer.
+    /// Returns the median time of the last calls; zero before the first answer.
     pub fn service(&self) -> Duration {
-        Duration::from_micros(self.latency_us as u64)
+        self.median
     }
 
     /// Returns the time by which replicas are compared. `typical` is the time that a call to a sound
@@ -222,8 +222,8 @@
             (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
         });
         let typical_us = typical.as_micros() as f64;
-        let trust = weight * (f64::from(self.samples) / TRUSTED_SAMPLES).min(1.0);
-        let mut cost_us = typical_us + (self.latency_us - typical_us) * trust;
+        let trust = weight * (self.samples as f64 / TRUSTED_SAMPLES).min(1.0);
+        let mut cost_us = typical_us + (self.median.as_micros() as f64 - typical_us) * trust;
         cost_us += self.failure_rate * weight * FAILURE_COST.as_micros() as f64;
         if self.cold_until.is_some_and(|until| now < until) {
             cost_us += typical_us * COLD_EXTRA;
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -287,8 +287,8 @@
         Some(choice)
     }
 
-    fn take_hedge(&mut self, slow: LeafKey, now: Instant) -> bool {
-        self.leafs.get(slow).is_some_and(|leaf| self.budget.take_hedge(leaf, now))
+    fn take_hedge(&mut self, slow: LeafKey, is_decisive: bool, now: Instant) -> bool {
+        self.leafs.get(slow).is_some_and(|leaf| self.budget.take_hedge(leaf, is_decisive, now))
     }
 
     fn take_retry(&mut self, failed: LeafKey, cause: RetryCause, now: Instant) -> bool {
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -141,7 +141,7 @@
         let ready = listen("readiness", settings.ready).await?;
         let control = listen("control", settings.control).await?;
         let tier = make_tier(&settings);
-        let budget = FleetBudget::new(settings.fleet_limits, UNHEARD_HOSTS);
+        let budget = FleetBudget::new(settings.fleet_limits, UNHEARD_HOSTS, now);
         let budget = Arc::new(Mutex::new(budget));
         let views = Arc::new(ViewCell::new(now));
         let metrics = Arc::new(Metrics::default());
--- a/lib/src/extra_calls.rs
+++ b/lib/src/extra_calls.rs
@@ -15,8 +15,9 @@
     /// Counts a first call, which extra calls are measured against.
     fn first_call(&mut self, leaf: &Leaf, now: Instant);
 
-    /// Takes one hedge beside a call to a slow leaf.
-    fn take_hedge(&mut self, slow: &Leaf, now: Instant) -> bool;
+    /// Takes one hedge beside a call to a slow leaf. Without the shard of a decisive one, the answer
+    /// is of no use.
+    fn take_hedge(&mut self, slow: &Leaf, is_decisive: bool, now: Instant) -> bool;
 
     /// Takes one retry after a call that reached its leaf.
     fn take_retry(&mut self, failed: &Leaf, cause: RetryCause, now: Instant) -> bool;
@@ -35,7 +36,7 @@
         self.entry_state.extra_load.lock().unwrap().earn(1, self.share);
     }
 
-    fn take_hedge(&mut self, _slow: &Leaf, _now: Instant) -> bool {
+    fn take_hedge(&mut self, _slow: &Leaf, _is_decisive: bool, _now: Instant) -> bool {
         let mut extra_load = self.entry_state.extra_load.lock().unwrap();
         extra_load.saved() >= 1.0 + RETRY_RESERVE_CALLS && extra_load.take()
     }
--- a/lib/src/fleet_budget.rs
+++ b/lib/src/fleet_budget.rs
@@ -19,10 +19,15 @@
 
 /// Part of the fleet's ratio that hosts use; the rest covers clocks and windows that do not agree.
 const RATIO_USE: f64 = 0.85;
-/// Part of the fleet's slack that hosts use. A host that restarts has forgotten what it spent.
-const SLACK_USE: f64 = 0.4;
-/// Part of the budget that hedges leave for retries.
-const RETRY_RESERVE: f64 = 0.2;
+/// Part of the fleet's slack that hosts use.
+const SLACK_USE: f64 = 0.8;
+/// Part of the fleet's slack that hosts use in the first window after their start. Many hosts may
+/// have started at once, and have forgotten what they spent before.
+const FIRST_SLACK_USE: f64 = 0.4;
+/// Part of the budget that hedges may use where the answer is useful without them.
+const OPTIONAL_PART: f64 = 0.6;
+/// Part of the budget that hedges may use; the rest is left for retries.
+const HEDGE_PART: f64 = 0.85;
 /// Counting buckets of a window.
 const BUCKETS: u32 = 20;
 
@@ -79,13 +84,16 @@
 pub struct FleetBudget {
     limits: FleetLimits,
     hosts: usize,
+    started_at: Instant,
     windows: HashMap<GroupKey, Window>,
 }
 
 /// What extra calls are for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExtraUse {
-    /// A call beside one that is slow.
+    /// A call beside one that is slow, whose shard would only complete the answer.
+    OptionalHedge,
+    /// A call beside one that is slow, without whose shard the answer is of no use.
     Hedge,
     /// A call after one that failed.
     Retry,
@@ -93,8 +101,8 @@
 
 impl FleetBudget {
     /// Starts with nothing spent. `hosts` is how many hosts may share the slack.
-    pub fn new(limits: FleetLimits, hosts: usize) -> Self {
-        Self { limits, hosts: hosts.max(1), windows: HashMap::new() }
+    pub fn new(limits: FleetLimits, hosts: usize, now: Instant) -> Self {
+        Self { limits, hosts: hosts.max(1), started_at: now, windows: HashMap::new() }
     }
 
     /// Changes how many hosts share the slack.
@@ -114,12 +122,15 @@
     /// Takes one extra call, if the budget allows it.
     pub fn take(&mut self, group: GroupKey, extra_use: ExtraUse, now: Instant) -> bool {
         let FleetLimits { ratio, slack, window: length } = self.limits;
-        let slack = slack * SLACK_USE / self.hosts as f64;
+        let is_first = now.saturating_duration_since(self.started_at) < length;
+        let slack_use = if is_first { FIRST_SLACK_USE } else { SLACK_USE };
+        let slack = slack * slack_use / self.hosts as f64;
         let window = self.windows.entry(group).or_default();
         window.turn(length, now);
         let allowed = f64::from(window.requests) * ratio * RATIO_USE + slack;
         let allowed = match extra_use {
-            ExtraUse::Hedge => allowed * (1.0 - RETRY_RESERVE),
+            ExtraUse::OptionalHedge => allowed * OPTIONAL_PART,
+            ExtraUse::Hedge => allowed * HEDGE_PART,
             ExtraUse::Retry => allowed,
         };
         if f64::from(window.extra) + 1.0 > allowed {
@@ -139,8 +150,9 @@
         self.0.lock().unwrap().request(leaf.host.detail.group, now);
     }
 
-    fn take_hedge(&mut self, slow: &Leaf, now: Instant) -> bool {
-        self.0.lock().unwrap().take(slow.host.detail.group, ExtraUse::Hedge, now)
+    fn take_hedge(&mut self, slow: &Leaf, is_decisive: bool, now: Instant) -> bool {
+        let extra_use = if is_decisive { ExtraUse::Hedge } else { ExtraUse::OptionalHedge };
+        self.0.lock().unwrap().take(slow.host.detail.group, extra_use, now)
     }
 
     fn take_retry(&mut self, failed: &Leaf, _cause: RetryCause, now: Instant) -> bool {
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -55,8 +55,9 @@
         now: Instant,
     ) -> Option<Choice>;
 
-    /// Takes one hedge of a call to `slow` from the budget of extra calls.
-    fn take_hedge(&mut self, slow: LeafKey, now: Instant) -> bool;
+    /// Takes one hedge of a call to `slow` from the budget of extra calls. Without the shard of a
+    /// decisive one, the answer is of no use.
+    fn take_hedge(&mut self, slow: LeafKey, is_decisive: bool, now: Instant) -> bool;
 
     /// Takes one retry from the budget of the leaf that failed and, where the failed call has load
     /// behind it, from the budget of extra calls.
--- a/lib/src/query_hedge.rs
+++ b/lib/src/query_hedge.rs
@@ -53,11 +53,17 @@
             self.close_call(slow);
             self.shard(shard).unsent += 1;
             self.send(shard, choice, Purpose::First, out);
-        } else if policy.take_hedge(slow_leaf, now) {
+        } else if policy.take_hedge(slow_leaf, self.is_decisive(), now) {
             self.send(shard, choice, Purpose::Hedge, out);
         }
     }
 
+    /// Whether more shards are missing than the answer can do without.
+    fn is_decisive(&self) -> bool {
+        let missing = self.shards.len() - self.parts.len();
+        missing > self.shards.len() - self.needed()
+    }
+
     fn newest_live_call(&mut self, shard: ShardNo) -> Option<Attempt> {
         let state = self.shard(shard);
         if state.merged || state.given_up || !self.has_attempts_left(shard) {
--- a/lib/tests/test_extra_budget.rs
+++ b/lib/tests/test_extra_budget.rs
@@ -40,7 +40,7 @@
         const HOSTS: usize = 9;
         let start = Instant::now();
         let mut now = start;
-        let mut hosts: Vec<_> = (0..HOSTS).map(|_| FleetBudget::new(LIMITS, HOSTS)).collect();
+        let mut hosts: Vec<_> = (0..HOSTS).map(|_| FleetBudget::new(LIMITS, HOSTS, start)).collect();
         let (mut requests, mut extra) = (Vec::new(), Vec::new());
         for (n, step) in steps.into_iter().enumerate() {
             let host = &mut hosts[n % HOSTS];
@@ -66,8 +66,10 @@
 #[test]
 fn hedges_leave_a_part_of_the_budget_for_retries() {
     let now = Instant::now();
-    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1);
+    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1, now);
     (0..100).for_each(|_| budget.request(GROUP, now));
+    while budget.take(GROUP, ExtraUse::OptionalHedge, now) {}
+    assert!(budget.take(GROUP, ExtraUse::Hedge, now), "decisive hedges may use more");
     while budget.take(GROUP, ExtraUse::Hedge, now) {}
     assert!(budget.take(GROUP, ExtraUse::Retry, now));
 }
@@ -75,7 +77,7 @@
 #[test]
 fn groups_have_budgets_of_their_own_and_old_requests_no_longer_count() {
     let now = Instant::now();
-    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1);
+    let mut budget = FleetBudget::new(FleetLimits { slack: 0.0, ..LIMITS }, 1, now);
     (0..100).for_each(|_| budget.request(GROUP, now));
     assert!(!budget.take(GroupKey(4), ExtraUse::Retry, now));
     assert!(!budget.take(GROUP, ExtraUse::Retry, now + Duration::from_secs(11)));
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -61,7 +61,7 @@
         Some(Choice { leaf, wait, cost: wait })
     }
 
-    fn take_hedge(&mut self, _slow: LeafKey, _now: Instant) -> bool {
+    fn take_hedge(&mut self, _slow: LeafKey, _is_decisive: bool, _now: Instant) -> bool {
         true
     }
 
