--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -45,6 +45,9 @@
     Broken {
         /// The leaf's address.
         peer: SocketAddr,
+        /// Whether nothing was ever answered on this connection: the leaf may have closed it because
+        /// it has too many.
+        is_new: bool,
         /// The cause.
         #[source]
         source: Box<dyn std::error::Error + Send + Sync>,
@@ -74,6 +77,13 @@
     }
 }
 
+impl BackendError {
+    /// Whether the leaf may have too many connections.
+    pub fn shows_overflow(&self) -> bool {
+        matches!(self, Self::Broken { is_new: true, .. })
+    }
+}
+
 /// Result of an exchange.
 pub type Result<T> = std::result::Result<T, BackendError>;
 
--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -30,6 +30,8 @@
 const EJECT_MAX: Duration = Duration::from_secs(4);
 /// Time that a leaf stays out after it refused a connection.
 const REFUSED_TIME: Duration = Duration::from_millis(300);
+/// Time in which no new connection is opened to a leaf that has too many.
+const FULL_TIME: Duration = Duration::from_millis(700);
 /// Time after which a leaf's own sign of leaving is forgotten, if the host list says otherwise.
 const DRAIN_MEMORY: Duration = Duration::from_secs(30);
 /// Time for which a leaf that answered for another one is left out, unless it is listed anew.
@@ -72,6 +74,7 @@
     ejections_in_row: u32,
     ejected_until: Option<Instant>,
     cold_until: Option<Instant>,
+    full_until: Option<Instant>,
     listed_leaving: bool,
     said_draining_at: Option<Instant>,
     misdirected_until: Option<Instant>,
@@ -136,6 +139,17 @@
         ejected
     }
 
+    /// Records that the leaf closed a new connection, as one does that has too many.
+    pub fn overflowed(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL_TIME);
+        self.sample_failure(1.0, now);
+    }
+
+    /// Whether a new connection to the leaf would hardly be kept.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     fn sample(&mut self, latency: Duration, failure: f64, now: Instant) {
         self.recent[self.samples % RECENT_SAMPLES] = latency;
         self.samples += 1;
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -370,8 +370,14 @@
         }
         let now = Instant::now();
         let mut state = self.leaf.state();
-        let ejected =
-            if error.is_refused() { state.belief.refused(now) } else { state.belief.lost(now) };
+        let ejected = if error.is_refused() {
+            state.belief.refused(now)
+        } else if error.shows_overflow() {
+            state.belief.overflowed(now);
+            false
+        } else {
+            state.belief.lost(now)
+        };
         drop(state);
         if ejected {
             counters.ejections.increment();
--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -1,10 +1,11 @@
 //! This host's share of the connections that a leaf accepts from all hosts.
 //!
 //! Hosts near a leaf share one half, as they call it for most requests; all others share the other
-//! half for second calls. Every host may open one. Where there are more hosts than connections, a
-//! part of them, chosen by hashing, keeps a connection; the others close theirs soon after use, so
-//! that the leaf's limit is rarely met. Beyond it the leaf resets a connection before a request is
-//! written, which costs one more try.
+//! half for second calls. Every host may open one. All hosts together keep open no more than a part
+//! of what the leaf accepts: a leaf counts the connections of hosts that lost power until it
+//! notices, and must have room for the near ones among them when they are back. Those far away wait
+//! a while after a start before they open any ahead of need. Where not every host can keep one,
+//! those that do are chosen by hashing, and the others close theirs soon after use.
 
 use std::time::Duration;
 
@@ -16,7 +17,9 @@
 
 /// Part of a leaf's connections that the hosts near it share.
 const NEAR_PART: f64 = 0.5;
-/// Idle time after which connections are closed where hosts outnumber them.
+/// Part of a leaf's connections that hosts keep open ahead of need.
+const KEPT_PART: f64 = 0.62;
+/// Idle time after which connections are closed that are not kept.
 const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Idle time after which connections are closed otherwise.
 const IDLE_TIME: Duration = Duration::from_secs(20);
@@ -30,6 +33,8 @@
     pub far: usize,
     /// Whether this host is in the leaf's region.
     pub is_near: bool,
+    /// Whether this host has started a short while ago.
+    pub is_new: bool,
 }
 
 /// What one host may do.
@@ -52,11 +57,19 @@
         HostCounts { far, .. } => (NEAR_PART, far),
     };
     let exact = f64::from(limit) * part / count.max(1) as f64;
-    let is_kept = exact >= 1.0 || draw(own, leaf) < exact;
+    let may_keep = hosts.is_near || !hosts.is_new;
+    let is_kept = may_keep && draw(own, leaf) < kept_part(limit, hosts);
     let idle_time = if is_kept { IDLE_TIME } else { SCARCE_IDLE_TIME };
     ConnectionShare { connections: (exact as u32).max(1), idle_time, is_kept }
 }
 
+/// Returns which part of the hosts like this one keeps a connection; above 1 for all of them.
+fn kept_part(limit: u32, hosts: HostCounts) -> f64 {
+    let room = f64::from(limit) * KEPT_PART;
+    let near = hosts.near as f64;
+    if hosts.is_near { room / near.max(1.0) } else { (room - near) / hosts.far.max(1) as f64 }
+}
+
 /// Draws a number from 0 to 1 that is the same on every call for a host and a leaf.
 fn draw(own: &HostName, leaf: &LeafName) -> f64 {
     let seed = xxh3_64(own.as_str().as_bytes());
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -47,8 +47,6 @@
 use crate::tier::Identity;
 use crate::tier::Tier;
 
-/// Hosts expected to share the budget's slack before any other was heard.
-const UNHEARD_HOSTS: usize = 16;
 /// Time after the signal to leave in which new connections still come, until the balancer has
 /// noticed.
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
@@ -59,7 +57,10 @@
 /// How often a process looks whether it was paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(250);
 /// Shortest time between two connections that are opened ahead of need to one leaf.
-const KEEP_PAUSE: Duration = Duration::from_secs(3);
+const KEEP_PAUSE: Duration = Duration::from_secs(1);
+/// Time in which a connection that was opened ahead of need and is gone shows a leaf that has too
+/// many.
+const OVERFLOW_TIME: Duration = Duration::from_millis(600);
 /// Pause between two connections that are opened ahead of need.
 const WARM_UP_PAUSE: Duration = Duration::from_millis(2);
 /// How often connections to leafs are looked at.
@@ -141,14 +142,15 @@
         let ready = listen("readiness", settings.ready).await?;
         let control = listen("control", settings.control).await?;
         let tier = make_tier(&settings);
-        let budget = FleetBudget::new(settings.fleet_limits, UNHEARD_HOSTS, now);
+        let fleet = make_fleet(&settings, &tier);
+        let budget = FleetBudget::new(settings.fleet_limits, fleet.assumed_count(now), now);
         let budget = Arc::new(Mutex::new(budget));
         let views = Arc::new(ViewCell::new(now));
         let metrics = Arc::new(Metrics::default());
         let knowledge = Arc::new(Knowledge {
             subscription: Mutex::new(Subscription::new(parts.decoder, settings.host.clone(), now)),
             outage: Mutex::new(Outage::new(now)),
-            fleet: Mutex::new(make_fleet(&settings, &tier)),
+            fleet: Mutex::new(fleet),
             regions: settings.regions.clone(),
             budget: budget.clone(),
             views: views.clone(),
@@ -238,7 +240,7 @@
         incarnation: tier.identity.incarnation,
         leaving: false,
     };
-    Fleet::new(own, settings.seeds.iter().copied())
+    Fleet::new(own, settings.seeds.iter().copied(), Instant::now())
 }
 
 /// Looks whether the process was paused or its host suspended, and lets the platform be read anew.
@@ -269,10 +271,12 @@
             if let Some(idle_time) = detail.idle_time {
                 leaf.pool.close_idle(idle_time, now);
             }
+            let opened_ago = opened_at.get(&leaf.key).map(|&at| now.saturating_duration_since(at));
+            if leaf.pool.open() == 0 && opened_ago.is_some_and(|ago| ago < OVERFLOW_TIME) {
+                leaf.state().belief.overflowed(now);
+            }
             let is_wanted = detail.is_kept && usability == Usability::Usable;
-            let is_due = opened_at
-                .get(&leaf.key)
-                .is_none_or(|&at| now.saturating_duration_since(at) >= KEEP_PAUSE);
+            let is_due = opened_ago.is_none_or(|ago| ago >= KEEP_PAUSE);
             if is_wanted && is_due && leaf.pool.open() == 0 {
                 opened_at.insert(leaf.key, now);
                 tokio::spawn(call::warm_up(tier.clone(), leaf.clone()));
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -28,6 +28,10 @@
 const MIN_FOLLOWED_ZONE: usize = 6;
 /// Time without news after which a host is not relied on as a reader.
 const READER_SILENCE: Duration = Duration::from_secs(8);
+/// Time after a start in which most hosts may not have been heard.
+pub const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Hosts that there may be before they were heard.
+const UNHEARD_HOSTS: usize = 96;
 /// Cards that one message carries, beside the sender's own.
 const MAX_CARDS: usize = 128;
 /// Share of exchanges that go to another zone.
@@ -73,6 +77,7 @@
     own: HostCard,
     seeds: BTreeSet<SocketAddr>,
     members: BTreeMap<String, Member>,
+    started_at: Instant,
 }
 
 /// What a message taught.
@@ -86,9 +91,9 @@
 
 impl Fleet {
     /// Starts with seeds, which may be stale or down.
-    pub fn new(own: HostCard, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+    pub fn new(own: HostCard, seeds: impl IntoIterator<Item = SocketAddr>, now: Instant) -> Self {
         let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
-        Self { own, seeds, members: BTreeMap::new() }
+        Self { own, seeds, members: BTreeMap::new(), started_at: now }
     }
 
     /// Changes the seeds.
@@ -171,6 +176,18 @@
         fitting.or_else(any).map(|member| member.card.addr)
     }
 
+    /// Returns the number of hosts that there may be: in the first seconds after a start, when most
+    /// hosts were not heard yet, many.
+    pub fn assumed_count(&self, now: Instant) -> usize {
+        let known = self.count(|_| true);
+        if self.is_new(now) { known.max(UNHEARD_HOSTS) } else { known }
+    }
+
+    /// Whether this host has started a short while ago.
+    pub fn is_new(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) < DISCOVERY_TIME
+    }
+
     /// Returns the number of hosts, this one included, in the zones for which `fits` holds.
     pub fn count(&self, fits: impl Fn(&str) -> bool) -> usize {
         let others = self.members.values().filter(|member| fits(&member.card.zone)).count();
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -53,6 +53,7 @@
     host: header::HeaderValue,
     sender: http1::SendRequest<Full<Bytes>>,
     closes_at: Option<Instant>,
+    is_new: bool,
 }
 
 impl HttpLeafConnection {
@@ -69,7 +70,7 @@
             let _ = conn.await;
         });
         let host = header::HeaderValue::try_from(peer.to_string()).expect("an address is ASCII");
-        let conn = Box::new(Self { peer, host, sender, closes_at: None });
+        let conn = Box::new(Self { peer, host, sender, closes_at: None, is_new: true });
         Ok(Opened { conn, took })
     }
 
@@ -82,7 +83,10 @@
         let response = match self.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(e) if e.message().is_some() => return Err(BackendError::NotSent { peer }),
-            Err(e) => return Err(BackendError::Broken { peer, source: e.into_error().into() }),
+            Err(e) => {
+                let (is_new, source) = (self.is_new, e.into_error().into());
+                return Err(BackendError::Broken { peer, is_new, source });
+            }
         };
         let (head, body) = response.into_parts();
         let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
@@ -90,8 +94,11 @@
             Err(source) if source.is::<LengthLimitError>() => {
                 return Err(BackendError::TooLarge { peer, limit: MAX_ANSWER_BYTES });
             }
-            Err(source) => return Err(BackendError::Broken { peer, source }),
+            Err(source) => {
+                return Err(BackendError::Broken { peer, is_new: false, source });
+            }
         };
+        self.is_new = false;
         self.closes_at = keep_alive(&head.headers).map(|idle| Instant::now() + idle);
         Ok(Response::from_parts(head, body))
     }
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -33,6 +33,8 @@
 const LEAF_RETRY_SHARE: f64 = 0.2;
 /// Cost added to a replica in another zone, so that near equals stay local.
 const REMOTE_ZONE_COST: Duration = Duration::from_millis(1);
+/// Cost of a new connection to a leaf whose connections are fewer than the hosts.
+const SCARCE_CONNECTION_COST: Duration = Duration::from_millis(30);
 /// Weight of own calls in flight at a leaf against its slots.
 const LOAD_WEIGHT: f64 = 0.5;
 /// Cost of a leaf that was tried for the same shard already.
@@ -258,8 +260,15 @@
         let work =
             self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
         let mut cost = queueing + state.belief.cost(typical, self.now) + work;
-        if leaf.pool.idle() == 0 {
+        let has_connection = leaf.pool.idle() > 0;
+        if !has_connection && state.belief.is_full(self.now) {
+            return None;
+        }
+        if !has_connection {
             cost += self.distances.of(&leaf.host.zone);
+            if state.detail.own_connections.is_some() && !state.detail.is_kept {
+                cost += SCARCE_CONNECTION_COST;
+            }
         }
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -12,6 +12,7 @@
 use crate::connection_share::HostCounts;
 use crate::events::Event;
 use crate::first_answer::first_answer;
+use crate::fleet::DISCOVERY_TIME;
 use crate::fleet::Fleet;
 use crate::fleet_budget::FleetBudget;
 use crate::fleet_link::FleetLink;
@@ -60,6 +61,8 @@
 
 struct FleetCounter<'a> {
     fleet: &'a Fleet,
+    assumed: usize,
+    is_new: bool,
     regions: &'a std::collections::BTreeMap<String, String>,
 }
 
@@ -68,9 +71,14 @@
         let region = self.regions.get(zone);
         let is_near =
             |other: &str| other == zone || region.is_some() && self.regions.get(other) == region;
-        let near = self.fleet.count(is_near);
-        let far = self.fleet.count(|other| !is_near(other));
-        HostCounts { near, far, is_near: is_near(&self.fleet.own().zone) }
+        // Hosts that were not heard yet are assumed to be spread evenly over the zones.
+        let unheard = self.assumed - self.fleet.count(|_| true);
+        let near_zones = self.regions.keys().filter(|other| is_near(other)).count();
+        let near_unheard = unheard * near_zones / self.regions.len().max(1);
+        let near = self.fleet.count(is_near) + near_unheard;
+        let far = self.fleet.count(|other| !is_near(other)) + unheard - near_unheard;
+        let is_near = is_near(&self.fleet.own().zone);
+        HostCounts { near, far, is_near, is_new: self.is_new }
     }
 }
 
@@ -103,8 +111,10 @@
     /// Puts the view of what is known now in force.
     pub fn renew_view(&self, now: Instant) {
         let fleet = self.fleet.lock().unwrap();
-        let counter = FleetCounter { fleet: &fleet, regions: &self.regions };
-        self.budget.lock().unwrap().set_hosts(fleet.count(|_| true));
+        let assumed = fleet.assumed_count(now);
+        let is_new = fleet.is_new(now);
+        let counter = FleetCounter { fleet: &fleet, assumed, is_new, regions: &self.regions };
+        self.budget.lock().unwrap().set_hosts(assumed);
         let view = self.subscription.lock().unwrap().make_view(&counter, now);
         self.views.set(view);
     }
@@ -121,10 +131,15 @@
 
     /// Drops leafs that lapsed, for as long as the process runs.
     pub async fn expire_lapsed(self: Arc<Self>) {
+        let started = Instant::now();
+        let mut is_discovering = true;
         loop {
             tokio::time::sleep(EXPIRY_CHECK).await;
             let now = Instant::now();
-            if self.subscription.lock().unwrap().expire(now) {
+            // The end of the discovery changes the shares of connections.
+            let was_discovering = is_discovering;
+            is_discovering = now.saturating_duration_since(started) <= DISCOVERY_TIME;
+            if self.subscription.lock().unwrap().expire(now) || was_discovering && !is_discovering {
                 self.renew_view(now);
             }
         }
--- a/lib/tests/test_belief.rs
+++ b/lib/tests/test_belief.rs
@@ -93,3 +93,13 @@
     let cold = belief.cost(NEAR, now);
     assert!(cold > belief.cost(NEAR, now + Duration::from_secs(3)));
 }
+
+#[test]
+fn leaf_that_closes_new_connections_is_full_for_a_while_but_not_ejected() {
+    let now = Instant::now();
+    let mut belief = warm(now);
+    belief.overflowed(now);
+    assert!(belief.is_full(now + 500 * MS));
+    assert!(!belief.is_full(now + 3 * Duration::from_secs(1)));
+    assert_eq!(belief.usability(now), Usability::Usable);
+}
