--- a/cli/src/daemon_main.rs
+++ b/cli/src/daemon_main.rs
@@ -33,6 +33,8 @@
         help = "serve opaque requests on the users' platform; its settings file and the log flags count"
     )]
     edge: bool,
+    #[options(no_short, help = "with --edge: port at which metrics are read", meta = "PORT")]
+    metrics_port: Option<u16>,
     #[options(no_short, help = "address to listen on, such as 127.0.0.1:8100", meta = "ADDR")]
     listen: Option<String>,
     #[options(no_short, help = "address at which peers reach this daemon", meta = "ADDR")]
@@ -89,7 +91,7 @@
 fn main() -> ExitCode {
     let flags = Flags::parse_args_default_or_exit();
     if flags.edge {
-        return edge_main::run(flags.log_level.as_deref());
+        return edge_main::run(flags.log_level.as_deref(), flags.metrics_port);
     }
     let raw = RawSettings::from(flags).or_environment(|name| std::env::var(name).ok());
     let settings = match Settings::try_from(raw) {
--- a/cli/src/edge_main.rs
+++ b/cli/src/edge_main.rs
@@ -22,7 +22,7 @@
 use crate::logging;
 
 /// Runs the process to its end.
-pub fn run(log_level: Option<&str>) -> ExitCode {
+pub fn run(log_level: Option<&str>, metrics_port: Option<u16>) -> ExitCode {
     let Ok(log_level) = log_level.unwrap_or("info").parse() else {
         eprintln!(
             "jasmineusherd: Setting \"log-level\": allowed is error, warn, info, debug or trace"
@@ -34,7 +34,10 @@
         return ExitCode::FAILURE;
     }
     let settings = match settings::read() {
-        Ok(settings) => settings,
+        Ok(mut settings) => {
+            settings.edge.metrics_port = metrics_port;
+            settings
+        }
         Err(e) => {
             eprintln!("jasmineusherd: {}", with_sources(&e));
             return ExitCode::from(EXIT_SETTINGS);
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -19,6 +19,7 @@
 use crate::distance::Distances;
 use crate::edge::Edge;
 use crate::edge_control::EdgeControl;
+use crate::error_text::with_sources;
 use crate::events::Event;
 use crate::fleet::Fleet;
 use crate::fleet::HostCard;
@@ -81,6 +82,8 @@
     pub ready: SocketAddr,
     /// Where other hosts of the fleet connect.
     pub control: SocketAddr,
+    /// Port at which metrics are read, beside the control address.
+    pub metrics_port: Option<u16>,
     /// Control addresses of some hosts.
     pub seeds: Vec<SocketAddr>,
     /// Limits for extra calls over the fleet.
@@ -178,6 +181,14 @@
         tokio::spawn(link.run());
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
+        if let Some(port) = settings.metrics_port {
+            let addr = SocketAddr::new(settings.control.ip(), port);
+            match listen("metrics", addr).await {
+                Ok(metrics) => drop(tokio::spawn(control_service.clone().accept(metrics))),
+                // They can be read on the control address too.
+                Err(e) => log_event!(warn, Event::SettingsUnusable, cause = with_sources(&e)),
+            }
+        }
         tokio::spawn(control_service.accept(control));
         log_event!(
             info,
@@ -185,7 +196,8 @@
             host = settings.host.as_str(),
             zone = settings.zone.as_str(),
             callers = %settings.callers,
-            control = %settings.control
+            control = %settings.control,
+            metrics_port = settings.metrics_port
         );
         Ok(Self { settings, edge, knowledge })
     }
