--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -17,6 +17,7 @@
 use crate::call_context::CallControl;
 use crate::call_context::CallEvent;
 use crate::call_context::ChargeTo;
+use crate::error_text::with_sources;
 use crate::events::Event;
 use crate::gate::Admission;
 use crate::gate::CallEnd;
@@ -26,6 +27,7 @@
 use crate::leaf_protocol::LeafStatus;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
+use crate::log_event;
 use crate::peer_protocol::RelayEnd;
 use crate::plan::Loss;
 use crate::plan::SendCall;
@@ -136,7 +138,7 @@
             Acquired::Idle(conn) => Ok(conn),
             Acquired::Full => Err(not_sent()),
             Acquired::MayOpen => self.open_connection().await.map_err(|e| {
-                self.note_loss(&e);
+                self.note_loss(&e, Duration::ZERO);
                 not_sent()
             }),
         }
@@ -185,7 +187,7 @@
                 }
                 Err(stray) => {
                     self.cx.tier.counters.strays.increment();
-                    Event::ReplyStray.info(&format!("leaf {}: {stray}", self.leaf.host.name));
+                    self.log_lost(Event::ReplyStray, &stray, elapsed);
                     self.leaf.state().belief.failed(now);
                     let effort = Effort::Estimated(elapsed.as_micros() as u64);
                     (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
@@ -204,12 +206,13 @@
                     Loss::NotSent => Effort::None,
                     _ => Effort::Estimated(elapsed.as_micros() as u64),
                 };
-                self.note_loss(&e);
+                self.note_loss(&e, elapsed);
                 (Ended::Lost(loss, effort), CallEnd::Other)
             }
             None => {
                 self.note_unanswered(elapsed, now);
                 self.leaf.state().belief.lost(now);
+                self.log_lost(Event::CallLost, &"no answer came after it was cancelled", elapsed);
                 let effort = Effort::Estimated(elapsed.as_micros() as u64);
                 (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
             }
@@ -320,7 +323,26 @@
         }
     }
 
+    /// Logs a call that brought nothing, with what it was for and why.
+    fn log_lost(&self, event: Event, cause: &dyn std::fmt::Display, elapsed: Duration) {
+        log_event!(
+            info,
+            event,
+            request = self.cx.request.as_deref(),
+            shard = self.send.call.shard.0,
+            leaf = self.leaf.host.name.as_str(),
+            addr = %self.leaf.host.addr,
+            purpose = ?self.send.purpose,
+            elapsed_ms = elapsed.as_millis() as u64,
+            cause = %cause
+        );
+    }
+
     fn note_answer(&self, answer: &LeafReply<P>, elapsed: Duration, now: Instant) -> CallEnd {
+        if answer.status != LeafStatus::Ok {
+            let cause = format!("the leaf answers {:?}", answer.status);
+            self.log_lost(Event::CallLost, &cause, elapsed);
+        }
         let mut state = self.leaf.state();
         match answer.status {
             LeafStatus::Shed => {
@@ -337,7 +359,7 @@
             LeafStatus::Misdirected => {
                 state.belief.misdirected(now);
                 drop(state);
-                Event::LeafMisdirected.warn(&format!("leaf {}", self.leaf.host.name));
+                self.log_lost(Event::LeafMisdirected, &"another leaf answers", elapsed);
                 return CallEnd::Other;
             }
             LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
@@ -363,7 +385,8 @@
         self.cx.latency.lock().unwrap().record(worked, now);
     }
 
-    fn note_loss(&self, error: &BackendError) {
+    fn note_loss(&self, error: &BackendError, elapsed: Duration) {
+        self.log_lost(Event::CallLost, &with_sources(error), elapsed);
         let counters = &self.cx.tier.counters;
         if !error.proves_not_sent() {
             counters.broken.increment();
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -96,6 +96,8 @@
     CallRepeated = 502,
     /// A caller went away before its answer, or sent what cannot be read.
     CallerLost = 503,
+    /// A call to a leaf brought no usable answer.
+    CallLost = 504,
     /// Log lines were dropped because the output did not take them in time.
     LogDropped = 600,
 }
