--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -54,7 +54,7 @@
 const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Longest time that a request waits for the first configuration of a process that has just started
 /// and is about to read it.
-const FIRST_VIEW_LIMIT: Duration = Duration::from_millis(100);
+const FIRST_VIEW_LIMIT: Duration = Duration::from_millis(300);
 /// Time after which a refused request is worth another try on another host.
 const RETRY_SOON: Duration = Duration::from_millis(40);
 /// Time after which leafs that were lost may be back.
