--- a/cli/tests/edge_bed/mod.rs
+++ b/cli/tests/edge_bed/mod.rs
@@ -87,8 +87,13 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        self.signal("TERM");
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let (option, pid) = (format!("-{name}"), self.child.id().to_string());
+        let sent = Command::new("kill").args([option, pid]).status();
         assert!(sent.is_ok_and(|status| status.success()));
     }
 
