--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -3,8 +3,8 @@
 //! Hosts near a leaf share one half, as they call it for most requests; all others share the other
 //! half for second calls. Every host may open one. All hosts together keep open no more than a part
 //! of what the leaf accepts: a leaf counts the connections of hosts that lost power until it
-//! notices, and must have room for the near ones among them when they are back. Those far away wait
-//! a while after a start before they open any ahead of need. Where not every host can keep one,
+//! notices, and should have room for some of them when they are back. Those far away wait a while
+//! after a start before they open any ahead of need. Where not every host can keep one,
 //! those that do are chosen by hashing, and the others close theirs soon after use.
 
 use std::time::Duration;
@@ -18,7 +18,7 @@
 /// Part of a leaf's connections that the hosts near it share.
 const NEAR_PART: f64 = 0.5;
 /// Part of a leaf's connections that hosts keep open ahead of need.
-const KEPT_PART: f64 = 0.62;
+const KEPT_PART: f64 = 0.75;
 /// Idle time after which connections are closed that are not kept.
 const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Idle time after which connections are closed otherwise.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -171,10 +171,9 @@
     /// Picks whom to exchange cards with next: mostly a host of the own zone.
     pub fn next_peer(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
         let seed = |rng: &mut _| self.seeds.iter().copied().choose(rng);
-        if self.members.is_empty() || rng.random_bool(SEED_SHARE) {
-            if let Some(seed) = seed(rng) {
-                return Some(seed);
-            }
+        let asks_seed = self.members.is_empty() || rng.random_bool(SEED_SHARE);
+        if asks_seed && let Some(seed) = seed(rng) {
+            return Some(seed);
         }
         let in_own_zone = !rng.random_bool(OTHER_ZONE_SHARE);
         let fits = |member: &&Member| (member.card.zone == self.own.zone) == in_own_zone;
--- a/lib/src/publications.rs
+++ b/lib/src/publications.rs
@@ -1,10 +1,12 @@
 //! Border between the system and a platform that publishes entries one by one.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use thiserror::Error;
 
 use crate::backend::BoxFuture;
+use crate::http_client::HttpClientError;
 use crate::ids::Revision;
 use crate::leaf_feed::PublishedLeaf;
 use crate::opaque_catalogue::CallerLimits;
@@ -20,10 +22,10 @@
         /// What was asked.
         step: &'static str,
         /// The platform's address.
-        peer: std::net::SocketAddr,
+        peer: SocketAddr,
         /// The cause.
         #[source]
-        source: crate::http_client::HttpClientError,
+        source: Box<HttpClientError>,
     },
     /// The platform refused, and nothing was done.
     #[error("Step \"{step}\" at the platform {peer} was refused with status {status}")]
@@ -31,7 +33,7 @@
         /// What was asked.
         step: &'static str,
         /// The platform's address.
-        peer: std::net::SocketAddr,
+        peer: SocketAddr,
         /// The HTTP status.
         status: u16,
     },
@@ -41,7 +43,7 @@
         /// What was asked.
         step: &'static str,
         /// The platform's address.
-        peer: std::net::SocketAddr,
+        peer: SocketAddr,
         /// What is wrong.
         message: String,
     },
