--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -52,7 +52,7 @@
 /// noticed.
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
 /// Time kept free at the end of the time allowed for leaving.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+const EXIT_MARGIN: Duration = Duration::from_millis(900);
 /// How often a leaving process looks whether it is finished.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// How often a process looks whether it was paused.
