--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -11,7 +11,6 @@
 
 use crate::backend::BackendError;
 use crate::backend::LeafConnection;
-use crate::backend::Opened;
 use crate::call_context::ANY_IDLE_TIME;
 use crate::call_context::CallContext;
 use crate::call_context::CallControl;
@@ -21,6 +20,8 @@
 use crate::events::Event;
 use crate::gate::Admission;
 use crate::gate::CallEnd;
+use crate::held_connection::HeldConnection;
+use crate::held_connection::open_connection;
 use crate::leaf::Leaf;
 use crate::leaf_codec::OutgoingCall;
 use crate::leaf_protocol::LeafReply;
@@ -37,7 +38,6 @@
 use crate::relay_link::RelayOutcome;
 use crate::relay_link::RelayedCall;
 use crate::tier::CONNECT_LIMIT;
-use crate::tier::Tier;
 
 /// How long a cancelled call may still answer before its connection is closed.
 const CANCEL_GRACE: Duration = Duration::from_millis(300);
@@ -409,48 +409,6 @@
     }
 }
 
-/// Opens a connection for which the pool has given leave.
-async fn open_connection(
-    tier: &Tier,
-    leaf: &Leaf,
-    limit: Duration,
-) -> Result<Box<dyn LeafConnection>, BackendError> {
-    tier.counters.connects.increment();
-    let opening = tier.backend.connect(leaf.host.addr, limit);
-    // The count of open connections must be right even when this future is dropped.
-    let mut opened = OpenGuard { leaf, kept: false };
-    let result = opening.await;
-    opened.kept = result.is_ok();
-    match result {
-        Ok(Opened { conn, took }) => {
-            tier.distances.lock().unwrap().observed(&leaf.host.zone, took);
-            Ok(conn)
-        }
-        Err(e) => {
-            tier.counters.connect_failures.increment();
-            if e.is_refused() {
-                tier.note_refused(leaf.key, Instant::now());
-            }
-            Err(e)
-        }
-    }
-}
-
-/// Opens a connection ahead of need. A leaf that cannot be reached is left out for a while.
-pub async fn warm_up(tier: Arc<Tier>, leaf: Arc<Leaf>) {
-    if let Acquired::MayOpen = leaf.pool.acquire(ANY_IDLE_TIME, Instant::now()) {
-        match open_connection(&tier, &leaf, CONNECT_LIMIT).await {
-            Ok(conn) => leaf.pool.put_back(conn, Instant::now()),
-            Err(e) if e.is_refused() => {
-                leaf.state().belief.refused(Instant::now());
-            }
-            Err(_) => {
-                leaf.state().belief.lost(Instant::now());
-            }
-        }
-    }
-}
-
 /// Gives a slot back and wakes the waiters that get one.
 fn leave(leaf: &Leaf, end: CallEnd) {
     let now = Instant::now();
@@ -461,43 +419,3 @@
         }
     }
 }
-
-/// Counts a connection as closed unless it was kept.
-struct OpenGuard<'a> {
-    leaf: &'a Leaf,
-    kept: bool,
-}
-
-impl Drop for OpenGuard<'_> {
-    fn drop(&mut self) {
-        if !self.kept {
-            self.leaf.pool.closed();
-        }
-    }
-}
-
-/// A connection in use. Closed when dropped, unless its exchange finished cleanly.
-struct HeldConnection<'a> {
-    leaf: &'a Leaf,
-    conn: Option<Box<dyn LeafConnection>>,
-}
-
-impl HeldConnection<'_> {
-    fn conn(&mut self) -> &mut Box<dyn LeafConnection> {
-        self.conn.as_mut().expect("the connection is held until it is put back")
-    }
-
-    fn put_back(&mut self) {
-        if let Some(conn) = self.conn.take() {
-            self.leaf.pool.put_back(conn, Instant::now());
-        }
-    }
-}
-
-impl Drop for HeldConnection<'_> {
-    fn drop(&mut self) {
-        if self.conn.take().is_some() {
-            self.leaf.pool.closed();
-        }
-    }
-}
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -14,7 +14,6 @@
 use tokio::sync::Notify;
 
 use crate::belief::Usability;
-use crate::call;
 use crate::caller_codec::CallerCodec;
 use crate::distance::Distances;
 use crate::edge::Edge;
@@ -26,6 +25,7 @@
 use crate::fleet_budget::FleetBudget;
 use crate::fleet_budget::FleetLimits;
 use crate::fleet_link::FleetLink;
+use crate::held_connection;
 use crate::http_client::HttpClient;
 use crate::http_leaf::HttpLeafBackend;
 use crate::ids::HostName;
@@ -293,7 +293,7 @@
             let is_due = opened_ago.is_none_or(|ago| ago >= KEEP_PAUSE);
             if is_wanted && is_due && leaf.pool.open() == 0 {
                 opened_at.insert(leaf.key, now);
-                tokio::spawn(call::warm_up(tier.clone(), leaf.clone()));
+                tokio::spawn(held_connection::warm_up(tier.clone(), leaf.clone()));
                 tokio::time::sleep(WARM_UP_PAUSE).await;
             }
         }
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -145,16 +145,6 @@
         Ok(next)
     }
 
-    /// Puts a view in force that was not made of documents.
-    pub fn replace_view(&self, view: Arc<View>) {
-        *self.view.write().unwrap() = view;
-    }
-
-    /// Returns the names of leafs that have keys.
-    pub fn registry(&self) -> &LeafRegistry {
-        &self.registry
-    }
-
     /// Records that a request's connection to a leaf broke.
     pub fn note_broken(&self, leaf: LeafKey, fingerprint: Fingerprint, now: Instant) {
         self.crashes.lock().unwrap().broke(leaf, fingerprint, now);
