lib: one place notes the platform's return; the goal and the fingerprint worked out once

Found on reading the whole change again: subscriber noted an answer of the platform in two copies; a query's goal stood in its plan and again in its pace, worked out twice; a request's fingerprint, which hashes its body, was computed twice a request; the control address dropped accept errors without a line.

--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -40,8 +40,6 @@
     pub typical_work: Duration,
     /// Work after which a call counts as slow; without it, calls are hedged only for the goal.
     pub slow_work: Option<Duration>,
-    /// When the answer should be there.
-    pub goal_at: Option<Instant>,
 }
 
 /// Time kept free before the goal for merging and for the way to the caller.
@@ -84,6 +82,7 @@
             leafs,
             class: cx.class,
             pace,
+            goal_at: query.plan.goal_at,
             budget,
             picked: HashMap::new(),
             alternatives: HashMap::new(),
@@ -230,6 +229,7 @@
     leafs: Arc<LeafTable>,
     class: Class,
     pace: Pace,
+    goal_at: Option<Instant>,
     distances: Distances,
     budget: Box<dyn ExtraCalls>,
     /// Calls that this query's first fan-out gave to each leaf, which the leafs' gates do not
@@ -252,7 +252,7 @@
     fn last_useful_delay(&self, leaf: LeafKey) -> Option<Duration> {
         let alternative = *self.alternatives.get(&leaf)?;
         let slow = self.pace.slow_work.unwrap_or(self.pace.typical_work);
-        let latest = self.pace.goal_at?.checked_sub(alternative + slow + GOAL_MARGIN)?;
+        let latest = self.goal_at?.checked_sub(alternative + slow + GOAL_MARGIN)?;
         Some(latest.saturating_duration_since(self.chosen_at))
     }
 }
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -57,7 +57,7 @@
 /// Smallest buffer that the HTTP library accepts for a connection.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Pause after a connection could not be accepted, as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What serves callers.
 pub struct Edge {
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -18,12 +18,15 @@
 use tokio::net::TcpListener;
 
 use crate::counters::CounterValues;
+use crate::edge::ACCEPT_PAUSE;
 use crate::edge::Edge;
+use crate::events::Event;
 use crate::fleet::HostCard;
 use crate::fleet_link::CHANGES_PATH;
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::knowledge::Knowledge;
+use crate::log_event;
 use crate::metrics::Metrics;
 use crate::tier::Tier;
 
@@ -88,9 +91,13 @@
     /// Accepts connections for as long as the process runs.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-                continue;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log_event!(warn, Event::CallerLost, step = "accept", cause = %e);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
             };
             let control = self.clone();
             tokio::spawn(async move {
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -202,7 +202,7 @@
         Ok(Self { settings, edge, knowledge })
     }
 
-    /// Takes new settings: the seeds, and the limits that may change while a process runs.
+    /// Takes the seeds of new settings. All others need a new process.
     pub fn reload(&self, settings: &EdgeSettings) {
         self.knowledge.fleet.lock().unwrap().set_seeds(settings.seeds.iter().copied());
         log_event!(info, Event::SettingsRead, seeds = settings.seeds.len());
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -275,7 +275,6 @@
             Pace {
                 typical_work: latency.typical().unwrap_or(UNKNOWN_WORK),
                 slow_work: latency.quantile(slow_quantile),
-                goal_at: self.entry.goal.map(|goal| self.arrived + goal),
             }
         };
         let spec = CallSpec::from(&*self.entry);
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -39,6 +39,7 @@
 use crate::opaque_view::ViewCell;
 use crate::plan::QueryPlan;
 use crate::plan::Suspicion;
+use crate::quarantine::Fingerprint;
 use crate::query::Query;
 use crate::query_outcome::Outcome;
 use crate::records;
@@ -98,8 +99,9 @@
         self.tier.counters.queries.increment();
         let view = self.views.first(FIRST_VIEW_LIMIT).await;
         let req = Arc::new(req);
-        match self.admit(&req, &view, arrived) {
-            Ok(entry) => self.run(req, view, entry, arrived).await,
+        let fingerprint = req.fingerprint();
+        match self.admit(&req, fingerprint, &view, arrived) {
+            Ok(entry) => self.run(req, fingerprint, view, entry, arrived).await,
             Err(own) => {
                 self.tier.counters.not_run.increment();
                 log_event!(
@@ -118,6 +120,7 @@
     fn admit(
         &self,
         req: &OpaqueRequest,
+        fingerprint: Fingerprint,
         view: &OpaqueView,
         now: Instant,
     ) -> Result<Arc<OpaqueEntry>, OwnAnswer> {
@@ -129,7 +132,7 @@
             let message = format!("No entry for host \"{}\" and path \"{path}\"", req.host);
             return Err(OwnAnswer::new(StatusCode::NOT_FOUND, message));
         };
-        if self.tier.crashes.lock().unwrap().is_condemned(req.fingerprint(), now) {
+        if self.tier.crashes.lock().unwrap().is_condemned(fingerprint, now) {
             let message = "The request has crashed several leafs";
             return Err(OwnAnswer::refused(jittered(RETRY_LATER), message));
         }
@@ -139,6 +142,7 @@
     async fn run(
         &self,
         req: Arc<OpaqueRequest>,
+        fingerprint: Fingerprint,
         view: Arc<OpaqueView>,
         spec: Arc<OpaqueEntry>,
         arrived: Instant,
@@ -156,7 +160,7 @@
             first_attempt: Attempt(0),
             suspicion: Suspicion::Clear,
         };
-        let mut driver = self.driver(&req, &view, entry, plan, deadline);
+        let mut driver = self.driver(&req, fingerprint, &view, entry, plan);
         let mut gone = std::pin::pin!(std::future::pending::<()>());
         driver.start();
         while driver.step(gone.as_mut()).await == Step::Open {}
@@ -203,10 +207,10 @@
     fn driver(
         &self,
         req: &Arc<OpaqueRequest>,
+        fingerprint: Fingerprint,
         view: &OpaqueView,
         entry: &Arc<Entry>,
         plan: QueryPlan,
-        deadline: Instant,
     ) -> Driver<LeafResponse> {
         let (tx, rx) = mpsc::unbounded_channel();
         let latency = self.tier.latency(&entry.index, Instant::now());
@@ -215,7 +219,6 @@
             Pace {
                 typical_work: latency.typical().unwrap_or(UNKNOWN_WORK),
                 slow_work: latency.slow(),
-                goal_at: plan.goal_at,
             }
         };
         let cx = Arc::new(CallContext {
@@ -224,11 +227,11 @@
             class: entry.class,
             relayed: None,
             request: Some(req.id.to_str().unwrap_or_default().into()),
-            suspect: Some(req.fingerprint()),
+            suspect: Some(fingerprint),
             max_idle: if entry.idempotent { ANY_IDLE_TIME } else { FRESH_IDLE_TIME },
             charge: None,
             latency,
-            deadline,
+            deadline: plan.deadline,
             events: tx,
         });
         let budget = Box::new(SharedFleetBudget(self.budget.clone()));
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -124,22 +124,10 @@
     }
 
     fn note(&self, result: &Result<Progress>, asked_at: Instant) {
-        let now = Instant::now();
-        let position = self.knowledge.position().0;
-        let mut outage = self.knowledge.outage.lock().unwrap();
-        match result {
-            Ok(_) => {
-                if let Turn::Regained(away) = outage.heard(now) {
-                    let away_ms = away.as_millis() as u64;
-                    log_event!(info, Event::PlatformHeard, away_ms, position);
-                }
-            }
-            Err(e) => {
-                if outage.failed(asked_at) == Turn::Lost {
-                    let cause = with_sources(e);
-                    log_event!(warn, Event::PlatformSilent, position, cause);
-                }
-            }
+        let Err(e) = result else { return self.heard() };
+        if self.knowledge.outage.lock().unwrap().failed(asked_at) == Turn::Lost {
+            let position = self.knowledge.position().0;
+            log_event!(warn, Event::PlatformSilent, position, cause = with_sources(e));
         }
     }
 
