goal: answers leave 14 ms before the goal instead of 10

Cause: where one shard stays missing, the answer leaves at the goal less the time for the way. A caller that opens a connection first has used 9 ms when its request arrives and 3 ms more for the answer; on small hosts 1 to 3 ms pass besides. Half of these answers reached their callers at 149.8 ms (median), the other half after the goal of 150 ms. Ruled out: slow leafs alone (the requests had 35 of 36 shards long before), second calls refused by the budget.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod fleet_link;
 pub mod front;
 pub mod gate;
+pub mod goal;
 pub mod held_connection;
 pub mod hosts;
 pub mod http_client;
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -21,6 +21,7 @@
 use crate::events::Event;
 use crate::fleet_budget::FleetBudget;
 use crate::fleet_budget::SharedFleetBudget;
+use crate::goal::answer_by;
 use crate::ids::Attempt;
 use crate::ids::EntryName;
 use crate::ids::GroupKey;
@@ -48,8 +49,6 @@
 
 /// Work expected of a call before any was seen.
 const UNKNOWN_WORK: Duration = Duration::from_millis(8);
-/// Time that a request takes from its caller and the answer back, kept free before the goal.
-const RETURN_TIME: Duration = Duration::from_millis(10);
 /// Longest idle time of a connection for a request that may not run twice: a leaf that closes idle
 /// connections could do so just as the request arrives.
 const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
@@ -156,7 +155,7 @@
             snapshot: Arc::new(snapshot),
             hits: spec.top,
             deadline,
-            goal_at: self.goal_at(entry, arrived),
+            goal_at: entry.goal.map(|goal| answer_by(goal, arrived)),
             first_attempt: Attempt(0),
             suspicion: Suspicion::Clear,
         };
@@ -168,10 +167,6 @@
         self.tell(&req, &view, &spec, outcome, arrived)
     }
 
-    fn goal_at(&self, entry: &Entry, arrived: Instant) -> Option<Instant> {
-        entry.goal.map(|goal| arrived + goal.saturating_sub(RETURN_TIME))
-    }
-
     /// Pins the leafs of the version in force.
     fn pin(&self, spec: &OpaqueEntry, view: &OpaqueView) -> IndexSnapshot {
         let picked;
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -11,6 +11,7 @@
 use jasmineusher_lib::activity::ConnectionVerdict;
 use jasmineusher_lib::connection_share::HostCounts;
 use jasmineusher_lib::connection_share::share;
+use jasmineusher_lib::goal::answer_by;
 use jasmineusher_lib::ids::HostName;
 use jasmineusher_lib::ids::IndexVersion;
 use jasmineusher_lib::ids::LeafName;
@@ -185,3 +186,20 @@
     activity.end(now + second);
     assert_eq!(activity.verdict(&limits, true, now + 2 * second), ConnectionVerdict::Close);
 }
+
+#[test]
+fn partial_answer_leaves_in_time_for_a_caller_that_opened_a_connection() {
+    // The pages of the platform name 3 ms one way between callers and hosts.
+    let way = Duration::from_millis(3);
+    let goal = Duration::from_millis(150);
+    let first_step = Instant::now();
+    let arrived = first_step + 3 * way;
+    let received = answer_by(goal, arrived) + way;
+    assert!(received < first_step + goal, "the answer must not use up the last millisecond");
+}
+
+#[test]
+fn goal_shorter_than_the_way_asks_for_an_answer_at_once() {
+    let arrived = Instant::now();
+    assert_eq!(answer_by(Duration::from_millis(5), arrived), arrived);
+}
