sightings: the hosts of a zone tell each other how their calls to leafs went

Cause: in a fleet of 84 hosts each one calls a leaf about once a second. Each host now sends its calls' outcomes every 0.4 s to one host of its zone and gets back a summary of everybody's last 7 calls to each leaf. Zones of fewer than 6 hosts do not: there each host sees enough itself.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::leaf_protocol::CallId;
+use crate::sightings::Summary;
 
 /// Weight of a new sample in the running mean of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
@@ -20,6 +21,15 @@
 /// Time in which an observation loses most of its weight against what is typical, so that a leaf
 /// that was slow or failed is tried again now and then.
 const MEMORY: Duration = Duration::from_secs(4);
+/// Part of the belief that is left to what all hosts of the zone saw; the rest is this host's own.
+const TOLD_PART: f64 = 0.75;
+/// Calls from which on what all hosts saw counts wholly.
+const TOLD_CALLS: f64 = 5.0;
+/// Time in which what all hosts saw loses most of its weight.
+const TOLD_MEMORY: Duration = Duration::from_secs(3);
+/// Cost of a call to a leaf that fails for several hosts: more than any way to a sound leaf in another
+/// region, as the budget for second calls is spent soon where many leafs fail.
+const TOLD_FAILURE_COST: Duration = Duration::from_millis(400);
 /// Cost of a call that fails: the retry's time and its part of the budget.
 const FAILURE_COST: Duration = Duration::from_millis(100);
 /// Failures in a row that eject a leaf.
@@ -82,6 +92,24 @@
     sheds: u64,
     losses: u64,
     hinted_queue: u32,
+    told: Option<Told>,
+}
+
+/// What all hosts of the zone saw of the leaf lately.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    calls: u8,
+    failure_rate: f64,
+    median: Option<Duration>,
+    seen_at: Instant,
+}
+
+impl Told {
+    fn weight(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.seen_at);
+        let fading = (-age.as_secs_f64() / TOLD_MEMORY.as_secs_f64()).exp();
+        TOLD_PART * fading * (f64::from(self.calls) / TOLD_CALLS).min(1.0)
+    }
 }
 
 impl Belief {
@@ -114,6 +142,14 @@
         }
     }
 
+    /// Records what all hosts of the zone saw.
+    pub fn told(&mut self, summary: Summary, now: Instant) {
+        let Some(seen_at) = now.checked_sub(summary.age) else { return };
+        let failure_rate = f64::from(summary.failures) / f64::from(summary.calls.max(1));
+        let Summary { calls, median, .. } = summary;
+        self.told = Some(Told { calls, failure_rate, median, seen_at });
+    }
+
     /// Records that the leaf shed a call.
     pub fn shed(&mut self, now: Instant) {
         self.sheds += 1;
@@ -239,6 +275,11 @@
         let trust = weight * (self.samples as f64 / TRUSTED_SAMPLES).min(1.0);
         let mut cost_us = typical_us + (self.median.as_micros() as f64 - typical_us) * trust;
         cost_us += self.failure_rate * weight * FAILURE_COST.as_micros() as f64;
+        if let Some(told) = &self.told {
+            let median = told.median.map_or(typical_us, |median| median.as_micros() as f64);
+            let told_us = median + told.failure_rate * TOLD_FAILURE_COST.as_micros() as f64;
+            cost_us += (told_us - cost_us) * told.weight(now);
+        }
         if self.cold_until.is_some_and(|until| now < until) {
             cost_us += typical_us * COLD_EXTRA;
         }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -37,6 +37,7 @@
 use crate::relay::Route;
 use crate::relay_link::RelayOutcome;
 use crate::relay_link::RelayedCall;
+use crate::sightings::Sighting;
 use crate::tier::CONNECT_LIMIT;
 
 /// How long a cancelled call may still answer before its connection is closed.
@@ -189,6 +190,7 @@
                     self.cx.tier.counters.strays.increment();
                     self.log_lost(Event::ReplyStray, &stray, elapsed);
                     self.leaf.state().belief.failed(now);
+                    self.note_sighting(None);
                     let effort = Effort::Estimated(elapsed.as_micros() as u64);
                     (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
                 }
@@ -212,6 +214,7 @@
             None => {
                 self.note_unanswered(elapsed, now);
                 self.leaf.state().belief.lost(now);
+                self.note_sighting(None);
                 self.log_lost(Event::CallLost, &"no answer came after it was cancelled", elapsed);
                 let effort = Effort::Estimated(elapsed.as_micros() as u64);
                 (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
@@ -338,11 +341,22 @@
         );
     }
 
+    /// Notes for the other hosts of the zone how the call went.
+    fn note_sighting(&self, took: Option<Duration>) {
+        let sighting = Sighting { leaf: self.leaf.hash, took };
+        self.cx.tier.sightings.lock().unwrap().add(sighting);
+    }
+
     fn note_answer(&self, answer: &LeafReply<P>, elapsed: Duration, now: Instant) -> CallEnd {
         if answer.status != LeafStatus::Ok {
             let cause = format!("the leaf answers {:?}", answer.status);
             self.log_lost(Event::CallLost, &cause, elapsed);
         }
+        match answer.status {
+            LeafStatus::Ok => self.note_sighting(Some(elapsed)),
+            LeafStatus::Shed | LeafStatus::Failed => self.note_sighting(None),
+            _ => {}
+        }
         let mut state = self.leaf.state();
         match answer.status {
             LeafStatus::Shed => {
@@ -392,6 +406,9 @@
             counters.broken.increment();
         }
         let now = Instant::now();
+        if !error.shows_overflow() {
+            self.note_sighting(None);
+        }
         let mut state = self.leaf.state();
         let ejected = if error.is_refused() {
             state.belief.refused(now)
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -28,6 +28,8 @@
 use crate::knowledge::Knowledge;
 use crate::log_event;
 use crate::metrics::Metrics;
+use crate::sighting_link::SIGHTINGS_PATH;
+use crate::sighting_link::SightingLink;
 use crate::tier::Tier;
 
 /// Path of the metrics.
@@ -41,6 +43,8 @@
 pub struct EdgeControl {
     /// The fleet's exchanges.
     pub link: Arc<FleetLink>,
+    /// The exchanges of sightings within the zone.
+    pub sightings: Arc<SightingLink>,
     /// What is known.
     pub knowledge: Arc<Knowledge>,
     /// What serves callers.
@@ -123,6 +127,7 @@
                 reply(StatusCode::OK, state)
             }
             EXCHANGE_PATH => answered(self.link.answer_exchange(&body)),
+            SIGHTINGS_PATH => answered(self.sightings.answer(&body)),
             CHANGES_PATH => answered(self.link.answer_changes(&body).await),
             _ => reply(StatusCode::NOT_FOUND, "no such path"),
         })
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -41,6 +41,7 @@
 use crate::publications::Decoder;
 use crate::publications::Publications;
 use crate::relay_link::RelayLinks;
+use crate::sighting_link::SightingLink;
 use crate::signature::KeyRing;
 use crate::steady_clock::PauseWatch;
 use crate::subscriber::Subscriber;
@@ -165,8 +166,11 @@
         let edge = Arc::new(Edge::new(front, views, parts.callers));
         let client = HttpClient::from_local(Some(settings.control.ip()));
         let link = Arc::new(FleetLink::new(knowledge.clone(), tier.clone(), client));
+        let sightings = SightingLink::new(knowledge.clone(), tier.clone(), link.clone());
+        let sightings = Arc::new(sightings);
         let control_service = Arc::new(EdgeControl {
             link: link.clone(),
+            sightings: sightings.clone(),
             knowledge: knowledge.clone(),
             edge: edge.clone(),
             metrics,
@@ -179,6 +183,7 @@
         tokio::spawn(knowledge.clone().expire_lapsed());
         tokio::spawn(keep_connections(knowledge.clone(), tier.clone()));
         tokio::spawn(link.run());
+        tokio::spawn(sightings.run());
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
         if let Some(port) = settings.metrics_port {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -88,6 +88,8 @@
     PeerSilent = 404,
     /// A host that reads the platform for its zone failed this one, which reads for itself.
     ReaderLost = 405,
+    /// The host that gathers what its zone sees of the leafs failed this one, which asks the next.
+    GathererLost = 406,
     /// A request was answered.
     RequestAnswered = 500,
     /// A request was refused before any leaf was called; it has not run.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -24,7 +24,7 @@
 const SILENCE: Duration = Duration::from_secs(20);
 /// Hosts of a zone that read the platform for the others.
 const READERS_PER_ZONE: usize = 2;
-/// Hosts of a zone from which on some read for the others.
+/// Hosts of a zone from which on some read for the others and one gathers what all see.
 const MIN_FOLLOWED_ZONE: usize = 6;
 /// Time without news after which a host is not relied on as a reader.
 const READER_SILENCE: Duration = Duration::from_secs(8);
@@ -67,6 +67,17 @@
     pub age: Duration,
 }
 
+/// Who gathers what the hosts of a zone see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Gatherer {
+    /// Nobody: the zone is small enough that each host sees for itself.
+    Nobody,
+    /// This host.
+    Own,
+    /// The host at this address.
+    Other(SocketAddr),
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     card: HostCard,
@@ -224,6 +235,25 @@
         cards.into_iter().map(|card| card.addr).collect()
     }
 
+    /// Returns who gathers what the hosts of the own zone see: the first by hashing that is not
+    /// `avoided`. Hosts that see different members for a while gather in parts.
+    pub fn gatherer(&self, avoided: impl Fn(SocketAddr) -> bool, now: Instant) -> Gatherer {
+        let is_fit = |member: &&Member| {
+            let age = now.saturating_duration_since(member.heard_at);
+            member.card.zone == self.own.zone && !member.card.leaving && age < READER_SILENCE
+        };
+        let others: Vec<_> = self.members.values().filter(is_fit).map(|m| &m.card).collect();
+        if others.len() + 1 < MIN_FOLLOWED_ZONE {
+            return Gatherer::Nobody;
+        }
+        let sound = others.into_iter().filter(|card| !avoided(card.addr));
+        let first = sound.chain([&self.own]).min_by_key(|card| xxh3_64(card.name.as_bytes()));
+        match first {
+            Some(card) if card.name != self.own.name => Gatherer::Other(card.addr),
+            _ => Gatherer::Own,
+        }
+    }
+
     /// Returns all cards, for the state dump.
     pub fn members(&self) -> impl Iterator<Item = &HostCard> {
         self.members.values().map(|member| &member.card)
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -185,7 +185,7 @@
         Ok(reply.is_fresh)
     }
 
-    async fn call<T: DeserializeOwned>(
+    pub(crate) async fn call<T: DeserializeOwned>(
         &self,
         peer: SocketAddr,
         path: &'static str,
@@ -267,6 +267,6 @@
     }
 }
 
-fn encode(message: &impl Serialize) -> Bytes {
+pub(crate) fn encode(message: &impl Serialize) -> Bytes {
     rmp_serde::to_vec(message).expect("message types serialise").into()
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -9,6 +9,7 @@
 use serde_with::DeserializeFromStr;
 use serde_with::SerializeDisplay;
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest name that is accepted, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
@@ -129,6 +130,10 @@
     /// Index of a leaf in this process's leaf arena. Stays valid for the life of the process.
     LeafKey(u32)
 );
+number_type!(
+    /// Hash of a leaf's name, by which hosts speak of the leaf in few bytes.
+    LeafHash(u64)
+);
 number_type!(
     /// Index of a group of leafs that hold the same data, in this process's arena of groups.
     GroupKey(u32)
@@ -154,6 +159,13 @@
     Incarnation(u64)
 );
 
+impl LeafHash {
+    /// Hashes a leaf's name.
+    pub fn of(name: &LeafName) -> Self {
+        Self(xxh3_64(name.as_str().as_bytes()))
+    }
+}
+
 /// Identifies one query over all hosts and process runs.
 #[derive(
     Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -21,6 +21,7 @@
 use crate::hosts::LeafDetail;
 use crate::hosts::LeafHost;
 use crate::ids::HostName;
+use crate::ids::LeafHash;
 use crate::ids::LeafKey;
 use crate::ids::Zone;
 use crate::plan::Choice;
@@ -72,6 +73,8 @@
 pub struct Leaf {
     /// The leaf's key.
     pub key: LeafKey,
+    /// The hash of its name.
+    pub hash: LeafHash,
     /// What the host list says of it.
     pub host: Arc<LeafHost>,
     /// Connections to it.
@@ -90,7 +93,8 @@
         let retries = ExtraLoadBudget::for_leaf();
         let detail = host.detail.clone();
         let state = LeafState { gate, belief, retries, route, detail };
-        Self { key, pool, host, state: Mutex::new(state) }
+        let hash = LeafHash::of(&host.name);
+        Self { key, hash, pool, host, state: Mutex::new(state) }
     }
 
     /// Returns how this host reaches the leaf.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -85,6 +85,8 @@
 pub mod server;
 pub mod settings;
 pub mod shares;
+pub mod sighting_link;
+pub mod sightings;
 pub mod signature;
 pub mod socket;
 pub mod state;
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -1,7 +1,7 @@
 //! The tables that all workers of one process share.
 //!
 //! Lock order: `draining`, then `view`, then `entries`, then one entry's tables, then `indexes`, then a leaf's state,
-//! then `distances`, `crashes`,
+//! then `distances`, `crashes`, `sightings`,
 //! `quarantine` and `ledger`, of which no two are held at once. No lock is held across an await.
 
 use std::collections::BTreeMap;
@@ -46,6 +46,7 @@
 use crate::quarantine::Fingerprint;
 use crate::quarantine::Quarantine;
 use crate::relay_link::RelayLinks;
+use crate::sightings::SightingLog;
 
 /// Who this process is.
 #[derive(Clone, Debug, Serialize)]
@@ -95,6 +96,8 @@
     pub distances: Mutex<Distances>,
     /// Broken connections that may have been crashes.
     pub crashes: Mutex<CrashWatch>,
+    /// What this host saw of leafs and has not told others yet.
+    pub sightings: Mutex<SightingLog>,
     /// Opens connections to leafs.
     pub backend: Box<dyn LeafBackend>,
     /// Calls leafs through other hosts.
@@ -116,6 +119,7 @@
         Self {
             distances: Mutex::new(distances),
             crashes: Mutex::default(),
+            sightings: Mutex::default(),
             identity,
             counters: Counters::default(),
             quarantine: Mutex::default(),
