--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -1,5 +1,6 @@
 //! Names and small keys that identify hosts, leafs, entries, shards and queries.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -42,6 +43,17 @@
     Ok(())
 }
 
+/// Returns a name that a platform gave as it is, if it may be used here or is empty, and else one
+/// made of its hash, so that a host, zone or entry is not lost for a letter in its name. Different
+/// names stay different, but for a collision of 64 bits.
+pub fn allowed_name(given: &str) -> Cow<'_, str> {
+    match check_name(given) {
+        _ if given.is_empty() => Cow::Borrowed(given),
+        Ok(()) => Cow::Borrowed(given),
+        Err(_) => Cow::Owned(format!("x{:016x}", xxh3_64(given.as_bytes()))),
+    }
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -21,6 +21,7 @@
 use crate::ids::LeafName;
 use crate::ids::Revision;
 use crate::ids::Zone;
+use crate::ids::allowed_name;
 use crate::leaf_feed::FedLeaf;
 use crate::leaf_feed::Heard;
 use crate::leaf_feed::LeafFeed;
@@ -298,7 +299,7 @@
 fn leaf_host(fed: &FedLeaf) -> Option<LeafHost> {
     let leaf = &fed.leaf;
     let name = format!("{}.{}", leaf.instance, leaf.moment.born_ms);
-    let name = LeafName::try_from(name.as_str());
+    let name = LeafName::try_from(&*allowed_name(&name));
     let zone = Zone::try_from(leaf.zone.as_str());
     match (name, zone) {
         (Ok(name), Ok(zone)) => Some(LeafHost {
