retry_after: while the platform is silent, callers are sent away for as long as it has been

Cause: a process without a configuration asked its callers back after 40 ms, however long the platform had been silent.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod relay_link;
 pub mod relay_service;
 pub mod relayed_calls;
+pub mod retry_after;
 pub mod running;
 pub mod search_codec;
 pub mod server;
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use hyper::StatusCode;
-use rand::Rng;
 use tokio::sync::mpsc;
 
 use crate::answer::OutcomeKind;
@@ -44,6 +43,9 @@
 use crate::query::Query;
 use crate::query_outcome::Outcome;
 use crate::records;
+use crate::retry_after;
+use crate::retry_after::LOST_LEAFS;
+use crate::retry_after::OTHER_HOST;
 use crate::tier::Tier;
 use crate::weights::Dealer;
 
@@ -55,10 +57,6 @@
 /// Longest time that a request waits for the first configuration of a process that has just started
 /// and is about to read it.
 const FIRST_VIEW_LIMIT: Duration = Duration::from_millis(300);
-/// Time after which a refused request is worth another try on another host.
-const RETRY_SOON: Duration = Duration::from_millis(40);
-/// Time after which leafs that were lost may be back.
-const RETRY_LATER: Duration = Duration::from_millis(250);
 
 /// Makes the codec that writes one request's calls.
 pub trait CodecMaker: Send + Sync {
@@ -124,7 +122,9 @@
         now: Instant,
     ) -> Result<Arc<OpaqueEntry>, OwnAnswer> {
         let Some(catalogue) = &view.catalogue else {
-            return Err(OwnAnswer::refused(jittered(RETRY_SOON), "No configuration is known yet"));
+            let waited = now.saturating_duration_since(view.made_at);
+            let wait = spread(retry_after::without_configuration(waited));
+            return Err(OwnAnswer::refused(wait, "No configuration is known yet"));
         };
         let path = req.path.split('?').next().unwrap_or_default();
         let Some(entry) = catalogue.find(&req.host, path) else {
@@ -133,7 +133,7 @@
         };
         if self.tier.crashes.lock().unwrap().is_condemned(fingerprint, now) {
             let message = "The request has crashed several leafs";
-            return Err(OwnAnswer::refused(jittered(RETRY_LATER), message));
+            return Err(OwnAnswer::refused(spread(LOST_LEAFS), message));
         }
         Ok(entry.clone())
     }
@@ -319,17 +319,16 @@
 fn refusal(outcome: &Outcome<LeafResponse>) -> OwnAnswer {
     match outcome.reason {
         Reason::Overloaded => {
-            let wait = outcome.excess_wait.unwrap_or(RETRY_LATER);
-            OwnAnswer::refused(jittered(wait), "The queues in front of the leafs are too long")
+            let wait = outcome.excess_wait.unwrap_or(LOST_LEAFS);
+            OwnAnswer::refused(spread(wait), "The queues in front of the leafs are too long")
         }
         Reason::DeadlineExceeded => {
-            OwnAnswer::refused(jittered(RETRY_SOON), "No leaf could be reached in time")
+            OwnAnswer::refused(spread(OTHER_HOST), "No leaf could be reached in time")
         }
-        _ => OwnAnswer::refused(jittered(RETRY_LATER), "Too few leafs can be reached"),
+        _ => OwnAnswer::refused(spread(LOST_LEAFS), "Too few leafs can be reached"),
     }
 }
 
-/// Spreads the time of a resend, so that refused requests do not come back all at once.
-fn jittered(wait: Duration) -> Duration {
-    wait.mul_f64(rand::rng().random_range(0.75..1.5))
+fn spread(wait: Duration) -> Duration {
+    retry_after::spread(wait, &mut rand::rng())
 }
