belief: the time of an answer and the cost of failures are told apart

Cause: what failures cost (hundreds of ms) counted as time that the other leaf needs to answer. Test: failures make a leaf dearer but not slower.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -264,27 +264,49 @@
         self.median
     }
 
-    /// Returns the time by which replicas are compared. `typical` is the time that a call to a sound
-    /// leaf in this one's zone takes; observations fade towards it.
+    /// Returns the time by which replicas are compared: the expected answer time and what failures
+    /// cost. `typical` is as in [`Belief::expected`].
     pub fn cost(&self, typical: Duration, now: Instant) -> Duration {
-        let weight = self.sampled_at.map_or(0.0, |at| {
-            let age = now.saturating_duration_since(at);
-            (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
-        });
+        let told = self.told_weight(now);
+        let own_cost = FAILURE_COST.mul_f64(self.failure_rate * self.weight(now) * (1.0 - told));
+        let told_rate = self.told.map_or(0.0, |told| told.failure_rate);
+        let told_cost = TOLD_FAILURE_COST.mul_f64(told_rate * told);
+        self.expected(typical, now) + own_cost + told_cost
+    }
+
+    /// Returns the expected time of an answer. `typical` is the time that a call to a sound leaf in
+    /// this one's zone takes; observations fade towards it.
+    pub fn expected(&self, typical: Duration, now: Instant) -> Duration {
         let typical_us = typical.as_micros() as f64;
-        let trust = weight * (self.samples as f64 / TRUSTED_SAMPLES).min(1.0);
-        let mut cost_us = typical_us + (self.median.as_micros() as f64 - typical_us) * trust;
-        cost_us += self.failure_rate * weight * FAILURE_COST.as_micros() as f64;
-        if let Some(told) = &self.told {
-            let median = told.median.map_or(typical_us, |median| median.as_micros() as f64);
-            let told_us = median + told.failure_rate * TOLD_FAILURE_COST.as_micros() as f64;
-            cost_us += (told_us - cost_us) * told.weight(now);
+        let trust = self.weight(now) * (self.samples as f64 / TRUSTED_SAMPLES).min(1.0);
+        let mut expected_us = typical_us + (self.median.as_micros() as f64 - typical_us) * trust;
+        if let Some(median) = self.told.and_then(|told| told.median) {
+            expected_us += (median.as_micros() as f64 - expected_us) * self.told_weight(now);
         }
         if self.cold_until.is_some_and(|until| now < until) {
-            cost_us += typical_us * COLD_EXTRA;
+            expected_us += typical_us * COLD_EXTRA;
         }
-        let cost = Duration::from_micros(cost_us as u64);
-        self.stuck_for(cost, now).map_or(cost, |stuck| cost.max(stuck))
+        let expected = Duration::from_micros(expected_us as u64);
+        self.stuck_for(expected, now).map_or(expected, |stuck| expected.max(stuck))
+    }
+
+    /// Returns the chance that the next call fails, from 0 to 1.
+    pub fn failure_chance(&self, now: Instant) -> f64 {
+        let told = self.told_weight(now);
+        let told_rate = self.told.map_or(0.0, |told| told.failure_rate);
+        self.failure_rate * self.weight(now) * (1.0 - told) + told_rate * told
+    }
+
+    /// Returns how much this host's own observations count by their age.
+    fn weight(&self, now: Instant) -> f64 {
+        self.sampled_at.map_or(0.0, |at| {
+            let age = now.saturating_duration_since(at);
+            (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        })
+    }
+
+    fn told_weight(&self, now: Instant) -> f64 {
+        self.told.map_or(0.0, |told| told.weight(now))
     }
 
     /// Returns how long the oldest call is out, if that is far longer than expected. What is left of
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -235,7 +235,7 @@
     /// Calls that this query's first fan-out gave to each leaf, which the leafs' gates do not
     /// count yet while the choices are made.
     picked: HashMap<LeafKey, u32>,
-    /// What the best other replica costs, by the leaf that was chosen.
+    /// When the best other replica is expected to answer, by the leaf that was chosen.
     alternatives: HashMap<LeafKey, Duration>,
     controls: Vec<Arc<CallControl>>,
     first_attempt: Attempt,
@@ -278,7 +278,7 @@
         let ranked = self.leafs.rank(zone, self.class, choosing);
         let choice = ranked.best?;
         self.chosen_at = now;
-        if let Some(other) = ranked.other_cost {
+        if let Some(other) = ranked.other_time {
             self.alternatives.insert(choice.leaf, other);
         }
         if purpose == Purpose::First {
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -36,6 +36,9 @@
 const REMOTE_ZONE_COST: Duration = Duration::from_millis(1);
 /// Cost of a new connection to a leaf whose connections are fewer than the hosts.
 const SCARCE_CONNECTION_COST: Duration = Duration::from_millis(30);
+/// Chance to fail above which a leaf gets no second calls: the budget for them is better spent on
+/// shards that are likely to answer.
+const MAX_HEDGE_FAILURE_CHANCE: f64 = 0.35;
 /// Weight of own calls in flight at a leaf against its slots.
 const LOAD_WEIGHT: f64 = 0.5;
 /// Cost of a leaf that was tried for the same shard already.
@@ -184,7 +187,7 @@
         let best = sound.first.or(ejected.first.filter(|_| tries_ejected));
         Ranked {
             best: best.map(|c| Choice { leaf: c.leaf, wait: c.wait, cost: c.cost }),
-            other_cost: sound.second.map(|c| c.cost),
+            other_time: sound.second.map(|c| c.time),
         }
     }
 }
@@ -194,8 +197,8 @@
 pub struct Ranked {
     /// The best replica.
     pub best: Option<Choice>,
-    /// What the next best one costs.
-    pub other_cost: Option<Duration>,
+    /// When the next best one is expected to answer.
+    pub other_time: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -239,6 +242,7 @@
 struct Candidate {
     leaf: LeafKey,
     wait: Duration,
+    time: Duration,
     cost: Duration,
     ejected: bool,
 }
@@ -252,7 +256,8 @@
         if matches!(usability, Usability::Draining | Usability::Gone) {
             return None;
         }
-        if is_hedge && (was_tried || !state.gate.is_free(class)) {
+        let is_likely_to_fail = state.belief.failure_chance(self.now) > MAX_HEDGE_FAILURE_CHANCE;
+        if is_hedge && (was_tried || is_likely_to_fail || !state.gate.is_free(class)) {
             return None;
         }
         let service = state.belief.service();
@@ -263,12 +268,14 @@
         let typical = self.typical_work + self.distances.of(&leaf.host.zone);
         let work =
             self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
+        let mut time = queueing + state.belief.expected(typical, self.now);
         let mut cost = queueing + state.belief.cost(typical, self.now) + work;
         let has_connection = leaf.pool.idle() > 0;
         if !has_connection && state.belief.is_full(self.now) {
             return None;
         }
         if !has_connection {
+            time += self.distances.of(&leaf.host.zone);
             cost += self.distances.of(&leaf.host.zone);
             if state.detail.own_connections.is_some() && !state.detail.is_kept {
                 cost += SCARCE_CONNECTION_COST;
@@ -282,6 +289,6 @@
         }
         let ejected = usability == Usability::Ejected
             || (state.belief.is_on_probe() && state.gate.in_flight() > 0);
-        Some(Candidate { leaf: leaf.key, wait, cost, ejected })
+        Some(Candidate { leaf: leaf.key, wait, time, cost, ejected })
     }
 }
--- a/lib/tests/test_belief.rs
+++ b/lib/tests/test_belief.rs
@@ -103,3 +103,17 @@
     assert!(!belief.is_full(now + 3 * Duration::from_secs(1)));
     assert_eq!(belief.usability(now), Usability::Usable);
 }
+
+/// Leafs of many shards that refuse: what they cost is no time after which a second call must start.
+#[test]
+fn failures_make_a_leaf_dearer_but_not_slower() {
+    let now = Instant::now();
+    let mut belief = warm(now);
+    for _ in 0..6 {
+        belief.shed(now);
+        belief.answered(8 * MS, 0, now);
+    }
+    assert!(belief.cost(NEAR, now) > FAR);
+    assert!(belief.expected(NEAR, now) < 2 * NEAR, "{:?}", belief.expected(NEAR, now));
+    assert!(belief.failure_chance(now) > 0.3);
+}
