connections: hosts that keep none to a crowded leaf close theirs after each use

All 84 hosts call it, it accepts 74 connections, and 55 are kept open. Hosts that needed one more kept it for 1.5 s after each use; the others were reset (3,872 times) and went to leafs that refuse. A call on a new connection takes 62 ms, so that few are needed at a time if each is closed after use. Hosts that see a new connection closed now say so to their zone, and hosts of the zone that keep none open close theirs after use while that is fresh. Test: a shard with one sound leaf left, played with 84 hosts and 74 connections.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -23,6 +23,8 @@
 const MEMORY: Duration = Duration::from_secs(4);
 /// Part of the belief that is left to what all hosts of the zone saw; the rest is this host's own.
 const TOLD_PART: f64 = 0.75;
+/// Time for which a leaf counts as crowded after the zone said so: until the next exchanges.
+const CROWDED_TIME: Duration = Duration::from_millis(1_000);
 /// Calls from which on what all hosts saw counts wholly.
 const TOLD_CALLS: f64 = 5.0;
 /// Time in which what all hosts saw loses most of its weight.
@@ -102,6 +104,7 @@
     failure_rate: f64,
     median: Option<Duration>,
     seen_at: Instant,
+    crowded_until: Option<Instant>,
 }
 
 impl Told {
@@ -147,7 +150,8 @@
         let Some(seen_at) = now.checked_sub(summary.age) else { return };
         let failure_rate = f64::from(summary.failures) / f64::from(summary.calls.max(1));
         let Summary { calls, median, .. } = summary;
-        self.told = Some(Told { calls, failure_rate, median, seen_at });
+        let crowded_until = summary.is_crowded.then_some(now + CROWDED_TIME);
+        self.told = Some(Told { calls, failure_rate, median, seen_at, crowded_until });
     }
 
     /// Records that the leaf shed a call.
@@ -181,6 +185,12 @@
         self.sample_failure(1.0, now);
     }
 
+    /// Whether hosts of the zone compete for connections to the leaf.
+    pub fn is_crowded(&self, now: Instant) -> bool {
+        let told_until = self.told.and_then(|told| told.crowded_until);
+        self.is_full(now) || told_until.is_some_and(|until| now < until)
+    }
+
     /// Whether a new connection to the leaf would hardly be kept.
     pub fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -37,6 +37,7 @@
 use crate::relay::Route;
 use crate::relay_link::RelayOutcome;
 use crate::relay_link::RelayedCall;
+use crate::sightings::Seen;
 use crate::sightings::Sighting;
 use crate::tier::CONNECT_LIMIT;
 
@@ -190,7 +191,7 @@
                     self.cx.tier.counters.strays.increment();
                     self.log_lost(Event::ReplyStray, &stray, elapsed);
                     self.leaf.state().belief.failed(now);
-                    self.note_sighting(None);
+                    self.note_sighting(Seen::Failed);
                     let effort = Effort::Estimated(elapsed.as_micros() as u64);
                     (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
                 }
@@ -214,7 +215,7 @@
             None => {
                 self.note_unanswered(elapsed, now);
                 self.leaf.state().belief.lost(now);
-                self.note_sighting(None);
+                self.note_sighting(Seen::Failed);
                 self.log_lost(Event::CallLost, &"no answer came after it was cancelled", elapsed);
                 let effort = Effort::Estimated(elapsed.as_micros() as u64);
                 (Ended::Lost(Loss::Garbled, effort), CallEnd::Other)
@@ -342,8 +343,8 @@
     }
 
     /// Notes for the other hosts of the zone how the call went.
-    fn note_sighting(&self, took: Option<Duration>) {
-        let sighting = Sighting { leaf: self.leaf.hash, took };
+    fn note_sighting(&self, seen: Seen) {
+        let sighting = Sighting { leaf: self.leaf.hash, seen };
         self.cx.tier.sightings.lock().unwrap().add(sighting);
     }
 
@@ -353,8 +354,8 @@
             self.log_lost(Event::CallLost, &cause, elapsed);
         }
         match answer.status {
-            LeafStatus::Ok => self.note_sighting(Some(elapsed)),
-            LeafStatus::Shed | LeafStatus::Failed => self.note_sighting(None),
+            LeafStatus::Ok => self.note_sighting(Seen::Answered(elapsed)),
+            LeafStatus::Shed | LeafStatus::Failed => self.note_sighting(Seen::Failed),
             _ => {}
         }
         let mut state = self.leaf.state();
@@ -406,9 +407,7 @@
             counters.broken.increment();
         }
         let now = Instant::now();
-        if !error.shows_overflow() {
-            self.note_sighting(None);
-        }
+        self.note_sighting(if error.shows_overflow() { Seen::Crowded } else { Seen::Failed });
         let mut state = self.leaf.state();
         let ejected = if error.is_refused() {
             state.belief.refused(now)
--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -5,7 +5,9 @@
 //! of what the leaf accepts: a leaf counts the connections of hosts that lost power until it
 //! notices, and should have room for some of them when they are back. Those far away wait a while
 //! after a start before they open any ahead of need. Where not every host can keep one,
-//! those that do are chosen by hashing, and the others close theirs soon after use.
+//! those that do are chosen by hashing, and the others close theirs soon after use. While a leaf is
+//! crowded, they close theirs after each use: when a shard has one sound leaf left, all hosts call
+//! it, and only those that are at it need a connection.
 
 use std::time::Duration;
 
@@ -42,7 +44,7 @@
 pub struct ConnectionShare {
     /// Connections that it may open.
     pub connections: u32,
-    /// How long it may keep one that is idle.
+    /// How long it may keep one that is idle, unless the leaf is crowded.
     pub idle_time: Duration,
     /// Whether it keeps one open ahead of need.
     pub is_kept: bool,
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -32,6 +32,7 @@
 use crate::ids::LeafKey;
 use crate::ids::Zone;
 use crate::knowledge::Knowledge;
+use crate::leaf::LeafState;
 use crate::log_event;
 use crate::metrics::Metrics;
 use crate::opaque_front::CodecMaker;
@@ -42,6 +43,8 @@
 use crate::publications::Publications;
 use crate::relay_link::RelayLinks;
 use crate::sighting_link::SightingLink;
+use crate::sightings::Seen;
+use crate::sightings::Sighting;
 use crate::signature::KeyRing;
 use crate::steady_clock::PauseWatch;
 use crate::subscriber::Subscriber;
@@ -283,16 +286,21 @@
         let view = knowledge.views.get();
         for leaf in view.leafs.iter() {
             let now = Instant::now();
-            let (detail, usability) = {
-                let state = leaf.state();
-                (state.detail.clone(), state.belief.usability(now))
+            let (detail, usability, is_crowded) = {
+                let LeafState { detail, belief, .. } = &*leaf.state();
+                (detail.clone(), belief.usability(now), belief.is_crowded(now))
             };
+            let closes_after_use = is_crowded && !detail.is_kept;
+            leaf.pool.set_closes_after_use(closes_after_use);
             if let Some(idle_time) = detail.idle_time {
+                let idle_time = if closes_after_use { Duration::ZERO } else { idle_time };
                 leaf.pool.close_idle(idle_time, now);
             }
             let opened_ago = opened_at.get(&leaf.key).map(|&at| now.saturating_duration_since(at));
             if leaf.pool.open() == 0 && opened_ago.is_some_and(|ago| ago < OVERFLOW_TIME) {
                 leaf.state().belief.overflowed(now);
+                let sighting = Sighting { leaf: leaf.hash, seen: Seen::Crowded };
+                tier.sightings.lock().unwrap().add(sighting);
             }
             let is_wanted = detail.is_kept && usability == Usability::Usable;
             let is_due = opened_ago.is_none_or(|ago| ago >= KEEP_PAUSE);
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -13,6 +13,7 @@
     idle: Vec<IdleConnection>,
     open: u32,
     limit: u32,
+    closes_after_use: bool,
 }
 
 struct IdleConnection {
@@ -57,6 +58,11 @@
         }
     }
 
+    /// Decides whether connections are closed after each use.
+    pub fn set_closes_after_use(&self, closes_after_use: bool) {
+        self.state.lock().unwrap().closes_after_use = closes_after_use;
+    }
+
     /// Takes the connection that was used last, if it was not idle for longer than `max_idle`, or
     /// leave to open one.
     pub fn acquire(&self, max_idle: Duration, now: Instant) -> Acquired {
@@ -78,7 +84,7 @@
     /// Gives back a connection whose exchange finished cleanly.
     pub fn put_back(&self, conn: Box<dyn LeafConnection>, now: Instant) {
         let mut state = self.state.lock().unwrap();
-        if state.open > state.limit || !conn.is_usable(now) {
+        if state.open > state.limit || state.closes_after_use || !conn.is_usable(now) {
             state.open -= 1;
         } else {
             state.idle.push(IdleConnection { conn, since: now });
--- a/lib/src/sightings.rs
+++ b/lib/src/sightings.rs
@@ -26,18 +26,31 @@
 const SUMMARY_CALLS: usize = 7;
 /// Age from which a sighting is left out of summaries.
 const MAX_AGE: Duration = Duration::from_secs(2);
+/// Time for which a leaf that closed a new connection counts as crowded: a few exchanges, so that all
+/// hosts of the zone hear of it.
+const CROWDED_TIME: Duration = Duration::from_millis(1_500);
 /// The most leafs that are remembered; a deployment of the design's size has some 1,000 shards of 3.
 const MAX_LEAFS: usize = 4_096;
 
 /// How one call to a leaf went.
-#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sighting {
     /// The leaf.
     pub leaf: LeafHash,
-    /// How long it took to answer, the way included; nothing if it failed or refused the call.
-    #[serde_as(as = "Option<DurationMicroSeconds<u64>>")]
-    pub took: Option<Duration>,
+    /// What it did.
+    pub seen: Seen,
+}
+
+/// What a leaf did.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Seen {
+    /// It answered after this time, the way included.
+    Answered(#[serde_as(as = "DurationMicroSeconds<u64>")] Duration),
+    /// It failed or refused the call.
+    Failed,
+    /// It closed a new connection, as one does that has too many.
+    Crowded,
 }
 
 /// Sightings of this host that wait to be sent. Drops the oldest when it is full.
@@ -77,12 +90,15 @@
     /// Time since the last of them was heard of.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Whether it closed new connections lately.
+    pub is_crowded: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Recent {
     calls: VecDeque<Option<Duration>>,
     heard_at: Instant,
+    crowded_at: Option<Instant>,
 }
 
 impl Recent {
@@ -95,6 +111,9 @@
             failures: (self.calls.len() - times.len()) as u8,
             median: times.get(times.len().saturating_sub(1) / 2).copied(),
             age: now.saturating_duration_since(self.heard_at),
+            is_crowded: self
+                .crowded_at
+                .is_some_and(|at| now.saturating_duration_since(at) <= CROWDED_TIME),
         }
     }
 }
@@ -108,12 +127,21 @@
 impl SightingBoard {
     /// Takes in sightings of one host.
     pub fn hear(&mut self, sightings: impl IntoIterator<Item = Sighting>, now: Instant) {
-        for Sighting { leaf, took } in sightings {
+        for Sighting { leaf, seen } in sightings {
             if self.leafs.len() >= MAX_LEAFS && !self.leafs.contains_key(&leaf) {
                 continue;
             }
-            let new = || Recent { calls: VecDeque::new(), heard_at: now };
+            let new = || Recent { calls: VecDeque::new(), heard_at: now, crowded_at: None };
             let recent = self.leafs.entry(leaf).or_insert_with(new);
+            let took = match seen {
+                Seen::Answered(took) => Some(took),
+                Seen::Failed => None,
+                Seen::Crowded => {
+                    recent.crowded_at = Some(now);
+                    recent.heard_at = now;
+                    continue;
+                }
+            };
             if recent.calls.len() == SUMMARY_CALLS {
                 recent.calls.pop_front();
             }
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -9,6 +9,7 @@
 use hyper::header::HeaderValue;
 use jasmineusher_lib::activity::Activity;
 use jasmineusher_lib::activity::ConnectionVerdict;
+use jasmineusher_lib::connection_share::ConnectionShare;
 use jasmineusher_lib::connection_share::HostCounts;
 use jasmineusher_lib::connection_share::share;
 use jasmineusher_lib::goal::answer_by;
@@ -26,6 +27,9 @@
 use jasmineusher_lib::records;
 use jasmineusher_lib::weights::Dealer;
 use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn entry(name: &str, prefix: &str) -> RawOpaqueEntry {
     RawOpaqueEntry {
@@ -161,6 +165,44 @@
     }
 }
 
+/// Plays a shard that has one sound leaf left: all hosts call it, 1.5 times a second each, and a call
+/// on a new connection takes 62 ms. Hosts that do not keep theirs close it after use. Returns the
+/// most connections open at once.
+fn most_connections_at_a_last_leaf(limit: u32, near: usize, far: usize, seed: u64) -> usize {
+    const STEP: Duration = Duration::from_millis(10);
+    const CALL: Duration = Duration::from_millis(62);
+    let leaf = LeafName::try_from(format!("i-{seed}.7").as_str()).expect("a name");
+    let mut rng = StdRng::seed_from_u64(seed);
+    let shares = (0..near + far).map(|n| {
+        let own = HostName::try_from(format!("front-{n}").as_str()).expect("a name");
+        let counts = HostCounts { near, far, is_near: n < near, is_new: false };
+        share(limit, counts, &own, &leaf)
+    });
+    let shares: Vec<_> = shares.collect();
+    let mut open_for: Vec<Option<Duration>> = vec![None; shares.len()];
+    let mut most = 0;
+    for _ in 0..2_000 {
+        for open in &mut open_for {
+            if rng.random_bool(1.5 * STEP.as_secs_f64()) {
+                *open = Some(CALL);
+            }
+            *open = open.and_then(|time| time.checked_sub(STEP));
+        }
+        let kept = |share: &&ConnectionShare| share.is_kept;
+        let busy = open_for.iter().zip(&shares).filter(|(o, s)| o.is_some() && !s.is_kept).count();
+        most = most.max(shares.iter().filter(kept).count() + busy);
+    }
+    most
+}
+
+#[test]
+fn crowded_leaf_accepts_the_connections_of_all_hosts_that_are_at_it() {
+    for seed in 0..10 {
+        let most = most_connections_at_a_last_leaf(74, 28, 56, seed);
+        assert!(most <= 74, "leaf {seed}: {most} connections of 74");
+    }
+}
+
 #[test]
 fn connection_is_closed_when_idle_for_long_and_cut_when_its_head_does_not_end() {
     let now = Instant::now();
--- a/lib/tests/test_sightings.rs
+++ b/lib/tests/test_sightings.rs
@@ -5,6 +5,7 @@
 
 use jasmineusher_lib::belief::Belief;
 use jasmineusher_lib::ids::LeafHash;
+use jasmineusher_lib::sightings::Seen;
 use jasmineusher_lib::sightings::Sighting;
 use jasmineusher_lib::sightings::SightingBoard;
 use jasmineusher_lib::sightings::SightingLog;
@@ -16,10 +17,10 @@
 const LEAF: LeafHash = LeafHash(7);
 
 fn answered(took: Duration) -> Sighting {
-    Sighting { leaf: LEAF, took: Some(took) }
+    Sighting { leaf: LEAF, seen: Seen::Answered(took) }
 }
 
-const FAILED: Sighting = Sighting { leaf: LEAF, took: None };
+const FAILED: Sighting = Sighting { leaf: LEAF, seen: Seen::Failed };
 
 #[test]
 fn summary_covers_the_last_calls_of_all_hosts() {
@@ -34,6 +35,22 @@
     assert_eq!(summary.age, 100 * MS);
 }
 
+/// A shard with one sound leaf left, at which more hosts want a connection than it accepts.
+#[test]
+fn all_hosts_of_the_zone_hear_that_a_leaf_is_crowded_until_it_is_no_longer() {
+    let now = Instant::now();
+    let mut board = SightingBoard::default();
+    board.hear([answered(30 * MS), Sighting { leaf: LEAF, seen: Seen::Crowded }], now);
+    let mut belief = Belief::default();
+    belief.told(board.summaries(now)[0], now);
+    assert!(belief.is_crowded(now));
+    assert!(belief.failure_chance(now) == 0.0, "a crowded leaf answers those that are connected");
+    board.hear([answered(30 * MS)], now + 1_900 * MS);
+    let later = now + 2_000 * MS;
+    belief.told(board.summaries(later)[0], later);
+    assert!(!belief.is_crowded(later));
+}
+
 #[test]
 fn old_sightings_are_in_no_summary() {
     let now = Instant::now();
@@ -111,12 +128,12 @@
             let cost = |leaf: &usize| host[*leaf].cost(typical[*leaf], now);
             let chosen = (0..3).min_by_key(cost).expect("there are three leafs");
             let sheds = chosen < 2 && rng.random_bool(SHED_SHARE);
-            let took = (!sheds).then_some(typical[chosen]);
-            match took {
-                Some(took) => host[chosen].answered(took, 0, now),
-                None => host[chosen].shed(now),
+            let seen = if sheds { Seen::Failed } else { Seen::Answered(typical[chosen]) };
+            match seen {
+                Seen::Answered(took) => host[chosen].answered(took, 0, now),
+                _ => host[chosen].shed(now),
             }
-            log.add(Sighting { leaf: LeafHash(chosen as u64), took });
+            log.add(Sighting { leaf: LeafHash(chosen as u64), seen });
             if step >= LEARNING_SECONDS * 50 {
                 calls += 1;
                 refused += u32::from(sheds);
