backend: a connection that is reset at once shows a leaf with too many, not a lost one

Cause: after a loss of power all hosts come back while the leafs still count their former connections. Such a leaf is now left without new connections for 0.7 s, as one that resets the first request was already.

--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -78,9 +78,14 @@
 }
 
 impl BackendError {
-    /// Whether the leaf may have too many connections.
+    /// Whether the leaf may have too many connections: it resets new ones, at once or with their first
+    /// request.
     pub fn shows_overflow(&self) -> bool {
-        matches!(self, Self::Broken { is_new: true, .. })
+        match self {
+            Self::Broken { is_new, .. } => *is_new,
+            Self::Connect { source, .. } => source.kind() == std::io::ErrorKind::ConnectionReset,
+            _ => false,
+        }
     }
 }
 
