connections: hosts that have just started leave none idle at a crowded leaf

Cause: after a loss of power a leaf counts the former runs' connections for some seconds and has room for 15 to 20 hosts of 84. The first to come kept theirs, the others were reset again and again (1,800 times in half a second), and each broken call took an attempt and a part of the budget for retries. Connections are now closed after each use at leafs that were seen crowded while the host is new, and none is opened ahead of need there, so that all hosts get at the leafs in turn. A connection opened ahead of need that is reset counts as one too many.

--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -72,6 +72,27 @@
     if hosts.is_near { room / near.max(1.0) } else { (room - near) / hosts.far.max(1) as f64 }
 }
 
+/// What this host does with connections to one leaf at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionUse {
+    /// Whether it closes each one after its call.
+    pub closes_after_use: bool,
+    /// Whether it opens one ahead of need.
+    pub opens_ahead: bool,
+}
+
+/// Decides what to do with connections to a leaf that is crowded or not.
+///
+/// After a loss of power, a leaf counts the connections of the hosts' former runs for some seconds, and
+/// has room for a part of the hosts only. While a host is new, it leaves none idle at a crowded leaf,
+/// so that all hosts get at it in turn.
+pub fn connection_use(is_kept: bool, is_new: bool, is_crowded: bool) -> ConnectionUse {
+    ConnectionUse {
+        closes_after_use: is_crowded && (is_new || !is_kept),
+        opens_ahead: is_kept && !(is_crowded && is_new),
+    }
+}
+
 /// Draws a number from 0 to 1 that is the same on every call for a host and a leaf.
 fn draw(own: &HostName, leaf: &LeafName) -> f64 {
     let seed = xxh3_64(own.as_str().as_bytes());
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 use crate::belief::Usability;
 use crate::caller_codec::CallerCodec;
+use crate::connection_share::connection_use;
 use crate::distance::Distances;
 use crate::edge::Edge;
 use crate::edge_control::EdgeControl;
@@ -281,16 +283,27 @@
 /// need, a few at a time.
 async fn keep_connections(knowledge: Arc<Knowledge>, tier: Arc<Tier>) {
     let mut opened_at: HashMap<LeafKey, Instant> = HashMap::new();
+    // Leafs that were crowded while this host was new stay so until it no longer is.
+    let mut crowded: HashSet<LeafKey> = HashSet::new();
     loop {
         tokio::time::sleep(IDLE_CHECK).await;
         let view = knowledge.views.get();
+        let is_new = knowledge.fleet.lock().unwrap().is_new(Instant::now());
+        if !is_new {
+            crowded.clear();
+        }
         for leaf in view.leafs.iter() {
             let now = Instant::now();
             let (detail, usability, is_crowded) = {
                 let LeafState { detail, belief, .. } = &*leaf.state();
                 (detail.clone(), belief.usability(now), belief.is_crowded(now))
             };
-            let closes_after_use = is_crowded && !detail.is_kept;
+            if is_crowded && is_new {
+                crowded.insert(leaf.key);
+            }
+            let is_crowded = is_crowded || crowded.contains(&leaf.key);
+            let connection_use = connection_use(detail.is_kept, is_new, is_crowded);
+            let closes_after_use = connection_use.closes_after_use;
             leaf.pool.set_closes_after_use(closes_after_use);
             if let Some(idle_time) = detail.idle_time {
                 let idle_time = if closes_after_use { Duration::ZERO } else { idle_time };
@@ -302,7 +315,7 @@
                 let sighting = Sighting { leaf: leaf.hash, seen: Seen::Crowded };
                 tier.sightings.lock().unwrap().add(sighting);
             }
-            let is_wanted = detail.is_kept && usability == Usability::Usable;
+            let is_wanted = connection_use.opens_ahead && usability == Usability::Usable;
             let is_due = opened_ago.is_none_or(|ago| ago >= KEEP_PAUSE);
             if is_wanted && is_due && leaf.pool.open() == 0 {
                 opened_at.insert(leaf.key, now);
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -46,6 +46,7 @@
     if let Acquired::MayOpen = leaf.pool.acquire(ANY_IDLE_TIME, Instant::now()) {
         match open_connection(&tier, &leaf, CONNECT_LIMIT).await {
             Ok(conn) => leaf.pool.put_back(conn, Instant::now()),
+            Err(e) if e.shows_overflow() => leaf.state().belief.overflowed(Instant::now()),
             Err(e) if e.is_refused() => {
                 leaf.state().belief.refused(Instant::now());
             }
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -11,6 +11,7 @@
 use jasmineusher_lib::activity::ConnectionVerdict;
 use jasmineusher_lib::connection_share::ConnectionShare;
 use jasmineusher_lib::connection_share::HostCounts;
+use jasmineusher_lib::connection_share::connection_use;
 use jasmineusher_lib::connection_share::share;
 use jasmineusher_lib::goal::answer_by;
 use jasmineusher_lib::ids::HostName;
@@ -203,6 +204,18 @@
     }
 }
 
+/// All hosts come back after a loss of power.
+#[test]
+fn new_host_leaves_no_connection_idle_at_a_crowded_leaf() {
+    let new = connection_use(true, true, true);
+    assert!(new.closes_after_use && !new.opens_ahead);
+    let settled = connection_use(true, false, true);
+    assert!(!settled.closes_after_use && settled.opens_ahead);
+    let calm = connection_use(true, true, false);
+    assert!(!calm.closes_after_use && calm.opens_ahead);
+    assert!(connection_use(false, false, true).closes_after_use);
+}
+
 #[test]
 fn connection_is_closed_when_idle_for_long_and_cut_when_its_head_does_not_end() {
     let now = Instant::now();
