--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::wire::Wire;
+
 /// What a leaf does with a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behaviour {
@@ -37,7 +39,9 @@
 pub struct Leaf {
     pub instance: String,
     pub group: String,
+    /// Where daemons connect: the network in front of it.
     pub addr: SocketAddr,
+    pub wire: Arc<Wire>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<HashMap<String, usize>>,
     arrivals: AtomicUsize,
@@ -54,10 +58,12 @@
 impl Leaf {
     pub async fn start(instance: &str, group: &str) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let wire = Wire::start(listener.local_addr().expect("it is bound")).await;
         let leaf = Arc::new(Self {
             instance: instance.to_owned(),
             group: group.to_owned(),
-            addr: listener.local_addr().expect("it is bound"),
+            addr: wire.addr,
+            wire,
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             arrivals: AtomicUsize::new(0),
@@ -188,7 +194,7 @@
 }
 
 /// Lets the close of a connection reset it.
-fn set_zero_linger(stream: &TcpStream) {
+pub fn set_zero_linger(stream: &TcpStream) {
     let set = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
     set.expect("the option can be set");
 }
--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod leaf;
 pub mod store;
+pub mod wire;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,6 +27,7 @@
 pub use leaf::Behaviour;
 pub use leaf::Leaf;
 pub use store::Store;
+pub use wire::Weather;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_jasmineusherd");
 /// Host of all requests in these tests.
@@ -155,6 +157,16 @@
         bed
     }
 
+    /// Ends all faults of leafs, the store and the network.
+    pub fn heal(&self) {
+        for leaf in &self.leafs {
+            leaf.behave(Behaviour::Sound);
+            leaf.wire.set(Weather::Calm);
+        }
+        self.store.ail(store::Ailment::None);
+        self.store.wire.set(Weather::Calm);
+    }
+
     /// Returns how often leafs began to run a request.
     pub fn runs(&self, id: &str) -> usize {
         self.leafs.iter().map(|leaf| leaf.runs(id)).sum()
--- a/cli/tests/test_edge/edge_bed/store.rs
+++ b/cli/tests/test_edge/edge_bed/store.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpListener;
 
 use super::Leaf;
+use super::wire::Wire;
 
 /// Items on one page; small, so that lists have several.
 const PAGE: usize = 3;
@@ -49,16 +50,18 @@
 
 /// The store.
 pub struct Store {
+    /// Where daemons connect: the network in front of it.
     pub addr: SocketAddr,
+    pub wire: Arc<Wire>,
     state: Mutex<State>,
 }
 
 impl Store {
     pub async fn start() -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let addr = listener.local_addr().expect("it is bound");
+        let wire = Wire::start(listener.local_addr().expect("it is bound")).await;
         let state = Mutex::new(State { revision: 100, ..State::default() });
-        let store = Arc::new(Self { addr, state });
+        let store = Arc::new(Self { addr: wire.addr, wire, state });
         let serving = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -22,6 +22,7 @@
 use crate::edge_bed::Caller;
 use crate::edge_bed::EdgeBed;
 use crate::edge_bed::Leaf;
+use crate::edge_bed::Weather;
 use crate::edge_bed::configuration;
 use crate::edge_bed::store::Ailment;
 
@@ -47,6 +48,15 @@
     Behaviour::BreaksOff,
 ];
 
+const WEATHERS: [Weather; 6] = [
+    Weather::Calm,
+    Weather::Delays(15),
+    Weather::Delays(300),
+    Weather::Resets,
+    Weather::LosesRequests,
+    Weather::LosesAnswers,
+];
+
 /// What callers saw.
 #[derive(Default)]
 struct Seen {
@@ -131,7 +141,7 @@
 /// Does one thing to the bed. Some daemon is always left alone, so that callers are served.
 async fn disturb(bed: &mut EdgeBed, rng: &mut StdRng, version: &mut u64) -> String {
     let daemon = rng.random_range(1..DAEMONS);
-    match rng.random_range(0..9) {
+    match rng.random_range(0..12) {
         0..3 => {
             let leaf = bed.leafs.choose(rng).expect("there are leafs");
             let behaviour = *BEHAVIOURS.choose(rng).expect("there are behaviours");
@@ -167,9 +177,19 @@
             bed.store.put("op/config", &configuration(*version, SHARDS));
             format!("version {version} is published")
         }
+        8 | 9 => {
+            let leaf = bed.leafs.choose(rng).expect("there are leafs");
+            let weather = *WEATHERS.choose(rng).expect("there are weathers");
+            leaf.wire.set(weather);
+            format!("the network in front of {} is {weather:?}", leaf.instance)
+        }
+        10 => {
+            let weather = *WEATHERS.choose(rng).expect("there are weathers");
+            bed.store.wire.set(weather);
+            format!("the network in front of the store is {weather:?}")
+        }
         _ => {
-            bed.leafs.iter().for_each(|leaf| leaf.behave(Behaviour::Sound));
-            bed.store.ail(Ailment::None);
+            bed.heal();
             "all is well".to_owned()
         }
     }
@@ -194,8 +214,7 @@
         let failed = callers.iter().any(|caller| caller.is_finished());
         assert!(!failed, "seed {seed} step {step}: a check failed");
     }
-    bed.leafs.iter().for_each(|leaf| leaf.behave(Behaviour::Sound));
-    bed.store.ail(Ailment::None);
+    bed.heal();
     version += 1;
     bed.store.put("op/config", &configuration(version, SHARDS));
     for daemon in &bed.daemons {
