connections: each host keeps one to one far leaf of a shard

Cause: where leafs accept fewer connections than there are hosts, half of the far hosts kept one, drawn for each leaf by itself: a host had one to neither of a shard's two far leafs in 27 cases of 100, and its second calls paid 30 ms more. The same number is now kept, and each host prefers one of the far leafs by hashing.

--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -4,14 +4,14 @@
 //! half for second calls. Every host may open one. All hosts together keep open no more than a part
 //! of what the leaf accepts: a leaf counts the connections of hosts that lost power until it
 //! notices, and should have room for some of them when they are back. Those far away wait a while
-//! after a start before they open any ahead of need. Where not every host can keep one,
-//! those that do are chosen by hashing, and the others close theirs soon after use. While a leaf is
+//! after a start before they open any ahead of need. Where not every host can keep one
+//! to each leaf, each keeps one to some of a shard's far leafs, so that a second call finds one open;
+//! which ones is chosen by hashing, and the others close theirs soon after use. While a leaf is
 //! crowded, they close theirs after each use: when a shard has one sound leaf left, all hosts call
 //! it, and only those that are at it need a connection.
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::HostName;
@@ -26,6 +26,11 @@
 /// Idle time after which connections are closed otherwise.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Tells the draws for keeping a connection from others.
+const KEEP_SEED: u64 = 0;
+/// Tells the draws for the order of far leafs from others.
+const PREFERENCE_SEED: u64 = 1;
+
 /// How many hosts there are, as seen from one leaf.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HostCounts {
@@ -39,6 +44,15 @@
     pub is_new: bool,
 }
 
+/// A far leaf among those that hold the same data.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FarPlace {
+    /// How many of the far ones this host prefers to it.
+    pub place: usize,
+    /// How many far ones there are.
+    pub count: usize,
+}
+
 /// What one host may do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionShare {
@@ -50,8 +64,14 @@
     pub is_kept: bool,
 }
 
-/// Works out the share of the host `own` at a leaf.
-pub fn share(limit: u32, hosts: HostCounts, own: &HostName, leaf: &LeafName) -> ConnectionShare {
+/// Works out the share of the host `own` at a leaf. The place counts for far leafs only.
+pub fn share(
+    limit: u32,
+    hosts: HostCounts,
+    far_place: FarPlace,
+    own: &HostName,
+    leaf: &LeafName,
+) -> ConnectionShare {
     let (part, count) = match hosts {
         HostCounts { far: 0, near, .. } => (1.0, near),
         HostCounts { near: 0, far, .. } => (1.0, far),
@@ -60,7 +80,11 @@
     };
     let exact = f64::from(limit) * part / count.max(1) as f64;
     let may_keep = hosts.is_near || !hosts.is_new;
-    let is_kept = may_keep && draw(own, leaf) < kept_part(limit, hosts);
+    let part = kept_part(limit, hosts);
+    // How many of the far leafs this host can keep a connection to, in the mean.
+    let kept_far = part * far_place.count as f64 - far_place.place as f64;
+    let part = if hosts.is_near || part >= 1.0 { part } else { kept_far };
+    let is_kept = may_keep && draw(own, leaf, KEEP_SEED) < part;
     let idle_time = if is_kept { IDLE_TIME } else { SCARCE_IDLE_TIME };
     ConnectionShare { connections: (exact as u32).max(1), idle_time, is_kept }
 }
@@ -93,8 +117,14 @@
     }
 }
 
-/// Draws a number from 0 to 1 that is the same on every call for a host and a leaf.
-fn draw(own: &HostName, leaf: &LeafName) -> f64 {
-    let seed = xxh3_64(own.as_str().as_bytes());
+/// Returns how much a host prefers a far leaf to others that hold the same data: the least number
+/// first. Hosts differ in it, so that the leafs are kept by like numbers of hosts.
+pub fn preference(own: &HostName, leaf: &LeafName) -> f64 {
+    draw(own, leaf, PREFERENCE_SEED)
+}
+
+/// Draws a number from 0 to 1 that is the same on every call for a host, a leaf and a purpose.
+fn draw(own: &HostName, leaf: &LeafName, purpose: u64) -> f64 {
+    let seed = xxh3_64_with_seed(own.as_str().as_bytes(), purpose);
     xxh3_64_with_seed(leaf.as_str().as_bytes(), seed) as f64 / u64::MAX as f64
 }
--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -3,11 +3,14 @@
 //! Invariants: the version of the configuration never goes back within a process; a configuration
 //! or a leaf's entry that cannot be used changes nothing else.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection_share::FarPlace;
 use crate::connection_share::HostCounts;
+use crate::connection_share::preference;
 use crate::connection_share::share;
 use crate::events::Event;
 use crate::hosts::HostList;
@@ -15,6 +18,7 @@
 use crate::hosts::LeafHost;
 use crate::hosts::LeafRegistry;
 use crate::hosts::RawHostList;
+use crate::ids::GroupKey;
 use crate::ids::HostName;
 use crate::ids::IndexVersion;
 use crate::ids::LeafKey;
@@ -248,12 +252,25 @@
     pub fn make_view(&mut self, hosts: &dyn HostCounter, now: Instant) -> OpaqueView {
         let mut list = RawHostList::default();
         let mut members: Vec<(u32, LeafName)> = Vec::new();
+        let mut listed = Vec::new();
+        let mut far_leafs: HashMap<GroupKey, Vec<f64>> = HashMap::new();
         for fed in self.feed.leafs() {
             let group = self.groups.key(&fed.leaf.group);
+            let Some(host) = leaf_host(fed) else { continue };
+            let counts = hosts.count(&fed.leaf.zone);
+            let preference = preference(&self.own, &host.name);
+            if !counts.is_near {
+                far_leafs.entry(group).or_default().push(preference);
+            }
+            listed.push(ListedLeaf { fed, host, group, counts, preference });
+        }
+        for ListedLeaf { fed, mut host, group, counts, preference } in listed {
             let limit = self.catalogue.as_ref().and_then(|c| c.connections(group));
             let limit = limit.unwrap_or(UNKNOWN_CONNECTIONS);
-            let Some(mut host) = leaf_host(fed) else { continue };
-            let share = share(limit, hosts.count(&fed.leaf.zone), &self.own, &host.name);
+            let far = far_leafs.get(&group).map_or(&[][..], Vec::as_slice);
+            let place = far.iter().filter(|&&other| other < preference).count();
+            let far_place = FarPlace { place, count: far.len() };
+            let share = share(limit, counts, far_place, &self.own, &host.name);
             host.connections = limit;
             host.detail = LeafDetail {
                 own_connections: Some(share.connections),
@@ -294,6 +311,15 @@
     }
 }
 
+/// A leaf while the view is made.
+struct ListedLeaf<'a> {
+    fed: &'a FedLeaf,
+    host: LeafHost,
+    group: GroupKey,
+    counts: HostCounts,
+    preference: f64,
+}
+
 /// Names a start of a leaf. A leaf that starts again under its former name shares nothing with its
 /// former self.
 fn leaf_host(fed: &FedLeaf) -> Option<LeafHost> {
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -10,8 +10,10 @@
 use jasmineusher_lib::activity::Activity;
 use jasmineusher_lib::activity::ConnectionVerdict;
 use jasmineusher_lib::connection_share::ConnectionShare;
+use jasmineusher_lib::connection_share::FarPlace;
 use jasmineusher_lib::connection_share::HostCounts;
 use jasmineusher_lib::connection_share::connection_use;
+use jasmineusher_lib::connection_share::preference;
 use jasmineusher_lib::connection_share::share;
 use jasmineusher_lib::goal::answer_by;
 use jasmineusher_lib::ids::HostName;
@@ -140,13 +142,16 @@
     assert!(headers.contains_key("x-end"));
 }
 
+/// The place of a far leaf that no other one holds the data of.
+const ONLY: FarPlace = FarPlace { place: 0, count: 1 };
+
 #[test]
 fn near_hosts_share_half_of_a_leafs_connections_and_far_ones_the_other() {
     let host = |n: u32| HostName::try_from(format!("front-{n}").as_str()).expect("a name");
     let leaf = LeafName::try_from("i-1.7").expect("a name");
     let near = HostCounts { near: 4, far: 5, is_near: true, is_new: false };
-    assert_eq!(share(26, near, &host(1), &leaf).connections, 3);
-    assert_eq!(share(26, HostCounts { is_near: false, ..near }, &host(1), &leaf).connections, 2);
+    assert_eq!(share(26, near, ONLY, &host(1), &leaf).connections, 3);
+    assert_eq!(share(26, HostCounts { is_near: false, ..near }, ONLY, &host(1), &leaf).connections, 2);
 }
 
 /// More hosts than a leaf accepts connections: 84 against 74.
@@ -156,16 +161,49 @@
     for leaf in 0..20 {
         let leaf = LeafName::try_from(format!("i-{leaf}.7").as_str()).expect("a name");
         let crowd = HostCounts { near: 28, far: 56, is_near: false, is_new: false };
-        let far: Vec<_> = (0..56).map(|n| share(74, crowd, &host(n), &leaf)).collect();
+        let far: Vec<_> = (0..56).map(|n| share(74, crowd, ONLY, &host(n), &leaf)).collect();
         let kept = far.iter().filter(|share| share.is_kept).count();
         assert!(kept + 28 <= 74 * 3 / 4 + 10, "{kept}");
         let new = HostCounts { is_new: true, ..crowd };
-        assert!((0..56).all(|n| !share(74, new, &host(n), &leaf).is_kept));
+        assert!((0..56).all(|n| !share(74, new, ONLY, &host(n), &leaf).is_kept));
         assert!(far.iter().filter(|s| !s.is_kept).all(|s| s.idle_time < Duration::from_secs(2)));
-        assert!(share(74, HostCounts { is_near: true, ..crowd }, &host(1), &leaf).is_kept);
+        assert!(share(74, HostCounts { is_near: true, ..crowd }, ONLY, &host(1), &leaf).is_kept);
     }
 }
 
+/// Slow leafs of many shards, in a fleet with more hosts than a leaf accepts connections: a second call
+/// goes to one of two far leafs, and should find a connection.
+#[test]
+fn each_host_keeps_a_connection_to_one_far_leaf_of_a_shard() {
+    let crowd = HostCounts { near: 28, far: 56, is_near: false, is_new: false };
+    let (mut hosts_with_one, mut kept) = (0, [0; 2]);
+    for n in 0..56 {
+        let own = HostName::try_from(format!("front-{n}").as_str()).expect("a name");
+        let leafs = ["i-1.7", "i-2.7"].map(|name| LeafName::try_from(name).expect("a name"));
+        let preferences = leafs.clone().map(|leaf| preference(&own, &leaf));
+        let mut keeps = false;
+        for (index, leaf) in leafs.iter().enumerate() {
+            let place = usize::from(preferences[index] > preferences[1 - index]);
+            let far_place = FarPlace { place, count: 2 };
+            let is_kept = share(74, crowd, far_place, &own, leaf).is_kept;
+            keeps |= is_kept;
+            kept[index] += usize::from(is_kept);
+        }
+        hosts_with_one += usize::from(keeps);
+    }
+    assert!(hosts_with_one >= 50, "{hosts_with_one} of 56 hosts");
+    assert!(kept.iter().all(|&kept| kept + 28 <= 74), "{kept:?} kept beside 28 near ones");
+}
+
+#[test]
+fn host_keeps_a_connection_to_all_leafs_that_have_room_for_all_hosts() {
+    let few = HostCounts { near: 3, far: 6, is_near: false, is_new: false };
+    let own = HostName::try_from("front-1").expect("a name");
+    let leaf = LeafName::try_from("i-1.7").expect("a name");
+    let is_kept = |place| share(26, few, FarPlace { place, count: 2 }, &own, &leaf).is_kept;
+    assert!(is_kept(0) && is_kept(1));
+}
+
 /// Plays a shard that has one sound leaf left: all hosts call it, 1.5 times a second each, and a call
 /// on a new connection takes 62 ms. Hosts that do not keep theirs close it after use. Returns the
 /// most connections open at once.
@@ -177,7 +215,7 @@
     let shares = (0..near + far).map(|n| {
         let own = HostName::try_from(format!("front-{n}").as_str()).expect("a name");
         let counts = HostCounts { near, far, is_near: n < near, is_new: false };
-        share(limit, counts, &own, &leaf)
+        share(limit, counts, ONLY, &own, &leaf)
     });
     let shares: Vec<_> = shares.collect();
     let mut open_for: Vec<Option<Duration>> = vec![None; shares.len()];
