--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -288,7 +288,7 @@
     loop {
         tokio::time::sleep(IDLE_CHECK).await;
         let view = knowledge.views.get();
-        let is_new = knowledge.fleet.lock().unwrap().is_new(Instant::now());
+        let is_new = knowledge.fleet.lock().unwrap().is_settling(Instant::now());
         if !is_new {
             crowded.clear();
         }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -29,7 +29,13 @@
 /// Time without news after which a host is not relied on as a reader.
 const READER_SILENCE: Duration = Duration::from_secs(8);
 /// Time after a start in which most hosts may not have been heard.
-pub const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Time after their discovery over which the hosts of a large fleet that started at once spread the
+/// opening of their connections, some hundred each: longer than leafs take to notice that former ones
+/// are gone.
+const SETTLING_SPREAD: Duration = Duration::from_secs(4);
+/// Other hosts from which on a fleet is large in this regard.
+const LARGE_FLEET: usize = 24;
 /// Hosts that there may be before they were heard.
 const UNHEARD_HOSTS: usize = 96;
 /// Cards that one message carries, beside the sender's own.
@@ -91,6 +97,7 @@
     seeds: BTreeSet<SocketAddr>,
     members: BTreeMap<String, Member>,
     started_at: Instant,
+    settled_at: Instant,
 }
 
 /// What a message taught.
@@ -106,7 +113,9 @@
     /// Starts with seeds, which may be stale or down.
     pub fn new(own: HostCard, seeds: impl IntoIterator<Item = SocketAddr>, now: Instant) -> Self {
         let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
-        Self { own, seeds, members: BTreeMap::new(), started_at: now }
+        let part = (own.incarnation.0 % 1_000) as f64 / 1_000.0;
+        let settled_at = now + DISCOVERY_TIME + SETTLING_SPREAD.mul_f64(part);
+        Self { own, seeds, members: BTreeMap::new(), started_at: now, settled_at }
     }
 
     /// Changes the seeds.
@@ -205,6 +214,12 @@
         now.saturating_duration_since(self.started_at) < DISCOVERY_TIME
     }
 
+    /// Whether this host should not yet open connections ahead of need to leafs that have fewer than
+    /// there are hosts.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        self.is_new(now) || self.members.len() >= LARGE_FLEET && now < self.settled_at
+    }
+
     /// Returns the number of hosts, this one included, in the zones for which `fits` holds.
     pub fn count(&self, fits: impl Fn(&str) -> bool) -> usize {
         let others = self.members.values().filter(|member| fits(&member.card.zone)).count();
--- a/lib/src/knowledge.rs
+++ b/lib/src/knowledge.rs
@@ -9,7 +9,6 @@
 use tokio::sync::Notify;
 
 use crate::connection_share::HostCounts;
-use crate::fleet::DISCOVERY_TIME;
 use crate::fleet::Fleet;
 use crate::fleet_budget::FleetBudget;
 use crate::ids::Revision;
@@ -92,7 +91,7 @@
     pub fn renew_view(&self, now: Instant) {
         let fleet = self.fleet.lock().unwrap();
         let assumed = fleet.assumed_count(now);
-        let is_new = fleet.is_new(now);
+        let is_new = fleet.is_settling(now);
         let counter = FleetCounter { fleet: &fleet, assumed, is_new, regions: &self.regions };
         self.budget.lock().unwrap().set_hosts(assumed);
         let view = self.subscription.lock().unwrap().make_view(&counter, now);
@@ -111,14 +110,13 @@
 
     /// Drops leafs that lapsed, for as long as the process runs.
     pub async fn expire_lapsed(self: Arc<Self>) {
-        let started = Instant::now();
         let mut is_discovering = true;
         loop {
             tokio::time::sleep(EXPIRY_CHECK).await;
             let now = Instant::now();
             // The end of the discovery changes the shares of connections.
             let was_discovering = is_discovering;
-            is_discovering = now.saturating_duration_since(started) <= DISCOVERY_TIME;
+            is_discovering = self.fleet.lock().unwrap().is_settling(now);
             if self.subscription.lock().unwrap().expire(now) || was_discovering && !is_discovering {
                 self.renew_view(now);
             }
--- a/lib/tests/test_fleet_hosts.rs
+++ b/lib/tests/test_fleet_hosts.rs
@@ -8,6 +8,7 @@
 use jasmineusher_lib::crash_watch::StrikeCount;
 use jasmineusher_lib::fleet::AgedCard;
 use jasmineusher_lib::fleet::Fleet;
+use jasmineusher_lib::fleet::Gatherer;
 use jasmineusher_lib::fleet::HostCard;
 use jasmineusher_lib::ids::Incarnation;
 use jasmineusher_lib::ids::LeafKey;
@@ -72,6 +73,44 @@
     }
 }
 
+/// All hosts of the grown sites start at once after a loss of power.
+#[test]
+fn hosts_of_a_large_fleet_do_not_open_their_connections_all_at_once() {
+    let mut rng = StdRng::seed_from_u64(8);
+    let start = Instant::now();
+    let host = |number| Fleet::new(card(number, 7_919 * u64::from(number)), [card(0, 1).addr], start);
+    let mut fleets: Vec<_> = (0..84).map(host).collect();
+    gossip(&mut fleets, 5, start, &mut rng);
+    let settled_after = |seconds: f64| {
+        let now = start + SECOND.mul_f64(seconds);
+        fleets.iter().filter(|fleet| !fleet.is_settling(now)).count()
+    };
+    assert_eq!(settled_after(4.9), 0);
+    assert!((20..64).contains(&settled_after(7.0)), "{}", settled_after(7.0));
+    assert_eq!(settled_after(9.1), 84);
+}
+
+/// Which host gathers what its zone sees follows those that are there.
+#[test]
+fn one_host_of_a_large_zone_gathers_and_the_next_when_it_is_lost() {
+    let mut rng = StdRng::seed_from_u64(9);
+    let mut fleets: Vec<_> = (0..30).map(fleet).collect();
+    let now = gossip(&mut fleets, 10, Instant::now(), &mut rng);
+    let nobody = |_| false;
+    for zone in 0..3 {
+        let hosts: Vec<_> = fleets.iter().skip(zone).step_by(3).collect();
+        let own = |fleet: &&&Fleet| fleet.gatherer(nobody, now) == Gatherer::Own;
+        let gatherers: Vec<_> = hosts.iter().filter(own).collect();
+        let [gatherer] = gatherers[..] else { panic!("zone {zone} has {}", gatherers.len()) };
+        let addr = gatherer.own().addr;
+        for fleet in hosts.iter().filter(|fleet| fleet.own().addr != addr) {
+            assert_eq!(fleet.gatherer(nobody, now), Gatherer::Other(addr));
+            assert_ne!(fleet.gatherer(|avoided| avoided == addr, now), Gatherer::Other(addr));
+        }
+    }
+    assert_eq!(fleet(0).gatherer(nobody, now), Gatherer::Nobody);
+}
+
 #[test]
 fn large_zone_has_two_readers_and_a_small_one_reads_for_itself() {
     let mut rng = StdRng::seed_from_u64(9);
