--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -56,6 +56,10 @@
     hedges,
     /// Retries.
     retries,
+    /// Hedges that the budget of extra calls did not allow.
+    hedges_denied,
+    /// Retries that the budget of extra calls did not allow.
+    retries_denied,
     /// Leaf calls cancelled after they were written.
     cancels,
     /// Leaf calls withdrawn before they were written.
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -79,6 +79,7 @@
         let policy = TierPolicy {
             distances: cx.tier.distances.lock().unwrap().clone(),
             tier: cx.tier.clone(),
+            request: cx.request.clone(),
             leafs,
             class: cx.class,
             pace,
@@ -226,6 +227,8 @@
 /// Decides by the shared tables.
 struct TierPolicy {
     tier: Arc<Tier>,
+    /// The caller's id of the request, until its first denied call is logged.
+    request: Option<Arc<str>>,
     leafs: Arc<LeafTable>,
     class: Class,
     pace: Pace,
@@ -248,6 +251,16 @@
         self.controls.get(index as usize)
     }
 
+    /// Logs the first call of a request that the budget does not allow. A hedge is asked for again and
+    /// again while its call is slow.
+    fn note_denied(&mut self, purpose: Purpose, leaf: LeafKey) {
+        let (Some(request), Some(leaf)) = (self.request.take(), self.leafs.get(leaf)) else {
+            return;
+        };
+        let leaf = leaf.host.name.as_str();
+        log_event!(info, Event::CallDenied, request = &*request, purpose = ?purpose, leaf);
+    }
+
     /// Returns the longest delay after which a hedge still answers by the goal.
     fn last_useful_delay(&self, leaf: LeafKey) -> Option<Duration> {
         let alternative = *self.alternatives.get(&leaf)?;
@@ -288,13 +301,25 @@
     }
 
     fn take_hedge(&mut self, slow: LeafKey, is_decisive: bool, now: Instant) -> bool {
-        self.leafs.get(slow).is_some_and(|leaf| self.budget.take_hedge(leaf, is_decisive, now))
+        let Some(leaf) = self.leafs.get(slow) else { return false };
+        let is_allowed = self.budget.take_hedge(leaf, is_decisive, now);
+        if !is_allowed {
+            self.tier.counters.hedges_denied.increment();
+            self.note_denied(Purpose::Hedge, slow);
+        }
+        is_allowed
     }
 
     fn take_retry(&mut self, failed: LeafKey, cause: RetryCause, now: Instant) -> bool {
         let Some(leaf) = self.leafs.get(failed) else { return true };
         let leaf_allows = leaf.state().retries.take();
-        leaf_allows && (cause == RetryCause::NotSent || self.budget.take_retry(leaf, cause, now))
+        let is_allowed = leaf_allows
+            && (cause == RetryCause::NotSent || self.budget.take_retry(leaf, cause, now));
+        if !is_allowed {
+            self.tier.counters.retries_denied.increment();
+            self.note_denied(Purpose::Retry, failed);
+        }
+        is_allowed
     }
 
     fn hedge_delay(&self, leaf: LeafKey) -> Option<Duration> {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -100,6 +100,8 @@
     CallerLost = 503,
     /// A call to a leaf brought no usable answer.
     CallLost = 504,
+    /// A call beside or after another one was wanted, and the budget of extra calls did not allow it.
+    CallDenied = 505,
     /// Log lines were dropped because the output did not take them in time.
     LogDropped = 600,
 }
