--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -39,6 +39,9 @@
 /// Chance to fail above which a leaf gets no second calls: the budget for them is better spent on
 /// shards that are likely to answer.
 const MAX_HEDGE_FAILURE_CHANCE: f64 = 0.35;
+/// Cost of a new connection to a leaf that closed one lately, as it has too many: it is tried after all
+/// others, as its room changes hands within tenths of a second.
+const FULL_LEAF_COST: Duration = Duration::from_secs(1);
 /// Weight of own calls in flight at a leaf against its slots.
 const LOAD_WEIGHT: f64 = 0.5;
 /// Cost of a leaf that was tried for the same shard already.
@@ -271,7 +274,8 @@
         let mut time = queueing + state.belief.expected(typical, self.now);
         let mut cost = queueing + state.belief.cost(typical, self.now) + work;
         let has_connection = leaf.pool.idle() > 0;
-        if !has_connection && state.belief.is_full(self.now) {
+        let needs_room = !has_connection && state.belief.is_full(self.now);
+        if needs_room && is_hedge {
             return None;
         }
         if !has_connection {
@@ -281,6 +285,9 @@
                 cost += SCARCE_CONNECTION_COST;
             }
         }
+        if needs_room {
+            cost += FULL_LEAF_COST;
+        }
         if leaf.host.zone != *zone {
             cost += REMOTE_ZONE_COST;
         }
