--- a/lib/src/sightings.rs
+++ b/lib/src/sightings.rs
@@ -152,8 +152,7 @@
 
     /// Summarises what was heard lately, and forgets the rest.
     pub fn summaries(&mut self, now: Instant) -> Vec<Summary> {
-        self.leafs
-            .retain(|_, recent| now.saturating_duration_since(recent.heard_at) <= MAX_AGE);
+        self.leafs.retain(|_, recent| now.saturating_duration_since(recent.heard_at) <= MAX_AGE);
         self.leafs.iter().map(|(&leaf, recent)| recent.summary(leaf, now)).collect()
     }
 }
--- a/lib/tests/test_fleet_hosts.rs
+++ b/lib/tests/test_fleet_hosts.rs
@@ -78,7 +78,8 @@
 fn hosts_of_a_large_fleet_do_not_open_their_connections_all_at_once() {
     let mut rng = StdRng::seed_from_u64(8);
     let start = Instant::now();
-    let host = |number| Fleet::new(card(number, 7_919 * u64::from(number)), [card(0, 1).addr], start);
+    let host =
+        |number| Fleet::new(card(number, 7_919 * u64::from(number)), [card(0, 1).addr], start);
     let mut fleets: Vec<_> = (0..84).map(host).collect();
     gossip(&mut fleets, 5, start, &mut rng);
     let settled_after = |seconds: f64| {
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -151,7 +151,10 @@
     let leaf = LeafName::try_from("i-1.7").expect("a name");
     let near = HostCounts { near: 4, far: 5, is_near: true, is_new: false };
     assert_eq!(share(26, near, ONLY, &host(1), &leaf).connections, 3);
-    assert_eq!(share(26, HostCounts { is_near: false, ..near }, ONLY, &host(1), &leaf).connections, 2);
+    assert_eq!(
+        share(26, HostCounts { is_near: false, ..near }, ONLY, &host(1), &leaf).connections,
+        2
+    );
 }
 
 /// More hosts than a leaf accepts connections: 84 against 74.
--- a/lib/tests/test_retry_after.rs
+++ b/lib/tests/test_retry_after.rs
@@ -11,8 +11,7 @@
 /// All processes start anew while the platform is silent.
 #[test]
 fn callers_are_sent_away_for_longer_the_longer_the_platform_is_silent() {
-    let [first, later, last] =
-        [MS, 400 * MS, 60_000 * MS].map(retry_after::without_configuration);
+    let [first, later, last] = [MS, 400 * MS, 60_000 * MS].map(retry_after::without_configuration);
     assert_eq!(first, retry_after::OTHER_HOST);
     assert_eq!(later, 400 * MS);
     assert_eq!(last, 2_000 * MS);
@@ -22,9 +21,8 @@
 fn refused_callers_do_not_come_back_all_at_once() {
     let mut rng = StdRng::seed_from_u64(3);
     let times: Vec<_> = (0..100).map(|_| retry_after::spread(100 * MS, &mut rng)).collect();
-    let in_window = |from: u32| {
-        times.iter().filter(|&&t| t >= from * MS && t < (from + 15) * MS).count()
-    };
+    let in_window =
+        |from: u32| times.iter().filter(|&&t| t >= from * MS && t < (from + 15) * MS).count();
     assert!(times.iter().all(|&t| t >= 75 * MS && t < 150 * MS));
     assert!((75..150).step_by(15).all(|from| in_window(from) < 40), "{times:?}");
 }
--- a/lib/tests/test_sightings.rs
+++ b/lib/tests/test_sightings.rs
@@ -155,8 +155,7 @@
 #[test]
 fn leafs_that_refuse_are_left_alone_after_a_second() {
     for seed in 0..10 {
-        let (alone, together) =
-            (play_refusing_leafs(false, seed), play_refusing_leafs(true, seed));
+        let (alone, together) = (play_refusing_leafs(false, seed), play_refusing_leafs(true, seed));
         assert!(together < 0.15, "seed {seed}: {together} of the calls are refused");
         assert!(together < alone, "seed {seed}: {together} together, {alone} alone");
     }
