soak: a request that was passed on is cut only by a killed daemon, and versions never go back

Two checks more: a daemon that leaves answers what it has passed on (only a kill may cut it), and the version of a daemon that is never restarted only rises.

--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -3,6 +3,7 @@
 //!
 //! CI runs a few short seeds; docs/SOAK.md tells how to run more.
 
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -104,7 +105,27 @@
     }
 }
 
-async fn call_on(addr: std::net::SocketAddr, leafs: Vec<Arc<Leaf>>, seen: Arc<Seen>, seed: u64) {
+/// Whether a daemon's connections may be cut, as it is killed.
+#[derive(Default)]
+struct Cuts {
+    allowed: AtomicBool,
+}
+
+/// Checks a request whose connection ended without an answer: only a killed daemon does that to
+/// requests that it has passed on. A leaving daemon may close a connection that a request crosses.
+fn check_cut(leafs: &[Arc<Leaf>], id: &str, cuts: &Cuts) {
+    let runs: usize = leafs.iter().map(|leaf| leaf.runs(id)).sum();
+    let may_cut = cuts.allowed.load(Ordering::Relaxed);
+    assert!(may_cut || runs == 0, "{id} was passed on {runs} times and then cut");
+}
+
+async fn call_on(
+    addr: SocketAddr,
+    leafs: Vec<Arc<Leaf>>,
+    seen: Arc<Seen>,
+    cuts: Arc<Cuts>,
+    seed: u64,
+) {
     let mut rng = StdRng::seed_from_u64(seed);
     while !seen.over.load(Ordering::Relaxed) {
         let Some(mut caller) = Caller::connect(addr).await else {
@@ -123,7 +144,10 @@
                 check_send(&leafs, &id, answer.as_ref());
             }
             // The connection of a process that was killed ends; one that leaves says so.
-            let Some(answer) = answer else { break };
+            let Some(answer) = answer else {
+                check_cut(&leafs, &id, &cuts);
+                break;
+            };
             if !is_send && answer.status == 200 {
                 check_merged(&id, &answer);
             }
@@ -139,7 +163,12 @@
 }
 
 /// Does one thing to the bed. Some daemon is always left alone, so that callers are served.
-async fn disturb(bed: &mut EdgeBed, rng: &mut StdRng, version: &mut u64) -> String {
+async fn disturb(
+    bed: &mut EdgeBed,
+    cuts: &[Arc<Cuts>],
+    rng: &mut StdRng,
+    version: &mut u64,
+) -> String {
     let daemon = rng.random_range(1..DAEMONS);
     match rng.random_range(0..12) {
         0..3 => {
@@ -149,7 +178,10 @@
             format!("{} is {behaviour:?}", leaf.instance)
         }
         3 => {
+            cuts[daemon].allowed.store(true, Ordering::Relaxed);
             bed.daemons[daemon].restart();
+            tokio::time::sleep(STEP).await;
+            cuts[daemon].allowed.store(false, Ordering::Relaxed);
             format!("daemon {daemon} is killed and starts again")
         }
         4 => {
@@ -199,16 +231,24 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut bed = EdgeBed::start(SHARDS, REPLICAS, DAEMONS).await;
     let seen = Arc::new(Seen::default());
+    let cuts: Vec<_> = (0..DAEMONS).map(|_| Arc::new(Cuts::default())).collect();
     let callers: Vec<_> = (0..CALLERS)
         .map(|n| {
             let addr = bed.daemons[n % DAEMONS].callers;
-            let seed = seed * 1_000 + n as u64;
-            tokio::spawn(call_on(addr, bed.leafs.clone(), seen.clone(), seed))
+            let (cuts, seed) = (cuts[n % DAEMONS].clone(), seed * 1_000 + n as u64);
+            tokio::spawn(call_on(addr, bed.leafs.clone(), seen.clone(), cuts, seed))
         })
         .collect();
     let mut version = 1;
+    // Some daemon is never restarted, so that its version may only rise.
+    let mut steady_version = 0;
     for step in 0..steps {
-        let what = disturb(&mut bed, &mut rng, &mut version).await;
+        let what = disturb(&mut bed, &cuts, &mut rng, &mut version).await;
+        if let Some(state) = bed.daemons[0].state().await {
+            let now = state["version"].as_u64().expect("a version");
+            assert!(now >= steady_version, "seed {seed} step {step}: {steady_version}, then {now}");
+            steady_version = now;
+        }
         println!("seed {seed} step {step}: {what}");
         tokio::time::sleep(STEP).await;
         let failed = callers.iter().any(|caller| caller.is_finished());
