connections: hosts that are starting leave no connection idle

Cause: after a loss of power the leafs have room for 15 to 20 connections. The near hosts opened theirs ahead of need at once and kept them idle; those that got one saw nothing amiss and were told that the leaf is crowded only 1.5 s later, when hosts know each other. In the first 1.5 s after its start a host now opens none ahead of need and closes each after its call, whatever it sees.

--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -105,16 +105,30 @@
     pub opens_ahead: bool,
 }
 
+/// How long this host has been there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostPhase {
+    /// It does not know yet how many hosts there are; all may have started at once.
+    Starting,
+    /// It may not open connections ahead of need to leafs that have fewer than there are hosts.
+    Settling,
+    /// It has settled.
+    Settled,
+}
+
 /// Decides what to do with connections to a leaf that is crowded or not.
 ///
 /// After a loss of power, a leaf counts the connections of the hosts' former runs for some seconds, and
 /// has room for a part of the hosts only. While a host is new, it leaves none idle at a crowded leaf,
-/// so that all hosts get at it in turn.
-pub fn connection_use(is_kept: bool, is_new: bool, is_crowded: bool) -> ConnectionUse {
-    ConnectionUse {
-        closes_after_use: is_crowded && (is_new || !is_kept),
-        opens_ahead: is_kept && !(is_crowded && is_new),
-    }
+/// so that all hosts get at it in turn; while it is starting, at any leaf, as those that get a
+/// connection are not told that others do not.
+pub fn connection_use(is_kept: bool, phase: HostPhase, is_crowded: bool) -> ConnectionUse {
+    let (closes_after_use, opens_ahead) = match phase {
+        HostPhase::Starting => (true, false),
+        HostPhase::Settling => (is_crowded, is_kept && !is_crowded),
+        HostPhase::Settled => (is_crowded && !is_kept, is_kept),
+    };
+    ConnectionUse { closes_after_use, opens_ahead }
 }
 
 /// Returns how much a host prefers a far leaf to others that hold the same data: the least number
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::belief::Usability;
 use crate::caller_codec::CallerCodec;
+use crate::connection_share::HostPhase;
 use crate::connection_share::connection_use;
 use crate::distance::Distances;
 use crate::edge::Edge;
@@ -288,8 +289,8 @@
     loop {
         tokio::time::sleep(IDLE_CHECK).await;
         let view = knowledge.views.get();
-        let is_new = knowledge.fleet.lock().unwrap().is_settling(Instant::now());
-        if !is_new {
+        let phase = knowledge.fleet.lock().unwrap().phase(Instant::now());
+        if phase == HostPhase::Settled {
             crowded.clear();
         }
         for leaf in view.leafs.iter() {
@@ -298,11 +299,11 @@
                 let LeafState { detail, belief, .. } = &*leaf.state();
                 (detail.clone(), belief.usability(now), belief.is_crowded(now))
             };
-            if is_crowded && is_new {
+            if is_crowded && phase != HostPhase::Settled {
                 crowded.insert(leaf.key);
             }
             let is_crowded = is_crowded || crowded.contains(&leaf.key);
-            let connection_use = connection_use(detail.is_kept, is_new, is_crowded);
+            let connection_use = connection_use(detail.is_kept, phase, is_crowded);
             let closes_after_use = connection_use.closes_after_use;
             leaf.pool.set_closes_after_use(closes_after_use);
             if let Some(idle_time) = detail.idle_time {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,6 +18,7 @@
 use serde_with::serde_as;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::connection_share::HostPhase;
 use crate::ids::Incarnation;
 
 /// Time without news after which a host is gone.
@@ -30,6 +31,9 @@
 const READER_SILENCE: Duration = Duration::from_secs(8);
 /// Time after a start in which most hosts may not have been heard.
 const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Time after a start after which a host knows whether there are many hosts: some exchanges with
+/// seeds, or hosts that know them.
+const STARTING_TIME: Duration = Duration::from_millis(1_500);
 /// Time after their discovery over which the hosts of a large fleet that started at once spread the
 /// opening of their connections, some hundred each: longer than leafs take to notice that former ones
 /// are gone.
@@ -214,6 +218,17 @@
         now.saturating_duration_since(self.started_at) < DISCOVERY_TIME
     }
 
+    /// Returns how long this host has been there, as far as its connections to leafs go.
+    pub fn phase(&self, now: Instant) -> HostPhase {
+        if now.saturating_duration_since(self.started_at) < STARTING_TIME {
+            HostPhase::Starting
+        } else if self.is_settling(now) {
+            HostPhase::Settling
+        } else {
+            HostPhase::Settled
+        }
+    }
+
     /// Whether this host should not yet open connections ahead of need to leafs that have fewer than
     /// there are hosts.
     pub fn is_settling(&self, now: Instant) -> bool {
--- a/lib/tests/test_opaque.rs
+++ b/lib/tests/test_opaque.rs
@@ -12,6 +12,7 @@
 use jasmineusher_lib::connection_share::ConnectionShare;
 use jasmineusher_lib::connection_share::FarPlace;
 use jasmineusher_lib::connection_share::HostCounts;
+use jasmineusher_lib::connection_share::HostPhase;
 use jasmineusher_lib::connection_share::connection_use;
 use jasmineusher_lib::connection_share::preference;
 use jasmineusher_lib::connection_share::share;
@@ -248,13 +249,15 @@
 /// All hosts come back after a loss of power.
 #[test]
 fn new_host_leaves_no_connection_idle_at_a_crowded_leaf() {
-    let new = connection_use(true, true, true);
-    assert!(new.closes_after_use && !new.opens_ahead);
-    let settled = connection_use(true, false, true);
+    let starting = connection_use(true, HostPhase::Starting, false);
+    assert!(starting.closes_after_use && !starting.opens_ahead);
+    let settling = connection_use(true, HostPhase::Settling, true);
+    assert!(settling.closes_after_use && !settling.opens_ahead);
+    let settled = connection_use(true, HostPhase::Settled, true);
     assert!(!settled.closes_after_use && settled.opens_ahead);
-    let calm = connection_use(true, true, false);
+    let calm = connection_use(true, HostPhase::Settling, false);
     assert!(!calm.closes_after_use && calm.opens_ahead);
-    assert!(connection_use(false, false, true).closes_after_use);
+    assert!(connection_use(false, HostPhase::Settled, true).closes_after_use);
 }
 
 #[test]
