connections: hosts that are starting share leafs only once they met three crowded ones

After a loss of power nearly every leaf is crowded, and a host meets three of them within its first calls.

--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -23,6 +23,9 @@
 const KEPT_PART: f64 = 0.75;
 /// Idle time after which connections are closed that are not kept.
 const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
+/// Crowded leafs from which on a host that has just started takes all leafs for crowded: one or two may
+/// be so by chance.
+const WIDESPREAD: usize = 3;
 /// Idle time after which connections are closed otherwise.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
@@ -116,16 +119,28 @@
     Settled,
 }
 
+/// What was seen of leafs that have too many connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Crowding {
+    /// Whether this leaf has.
+    pub is_crowded: bool,
+    /// Leafs that have had since this host started.
+    pub crowded_leafs: usize,
+}
+
 /// Decides what to do with connections to a leaf that is crowded or not.
 ///
 /// After a loss of power, a leaf counts the connections of the hosts' former runs for some seconds, and
 /// has room for a part of the hosts only. While a host is new, it leaves none idle at a crowded leaf,
-/// so that all hosts get at it in turn; while it is starting, at any leaf, as those that get a
-/// connection are not told that others do not.
-pub fn connection_use(is_kept: bool, phase: HostPhase, is_crowded: bool) -> ConnectionUse {
+/// so that all hosts get at it in turn. While it is starting and has met some crowded leafs, it does so
+/// at all: a host that gets a connection is not told that others do not.
+pub fn connection_use(is_kept: bool, phase: HostPhase, crowding: Crowding) -> ConnectionUse {
+    let is_crowded = match phase {
+        HostPhase::Starting => crowding.is_crowded || crowding.crowded_leafs >= WIDESPREAD,
+        _ => crowding.is_crowded,
+    };
     let (closes_after_use, opens_ahead) = match phase {
-        HostPhase::Starting => (true, false),
-        HostPhase::Settling => (is_crowded, is_kept && !is_crowded),
+        HostPhase::Starting | HostPhase::Settling => (is_crowded, is_kept && !is_crowded),
         HostPhase::Settled => (is_crowded && !is_kept, is_kept),
     };
     ConnectionUse { closes_after_use, opens_ahead }
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::belief::Usability;
 use crate::caller_codec::CallerCodec;
+use crate::connection_share::Crowding;
 use crate::connection_share::HostPhase;
 use crate::connection_share::connection_use;
 use crate::distance::Distances;
@@ -303,7 +304,8 @@
                 crowded.insert(leaf.key);
             }
             let is_crowded = is_crowded || crowded.contains(&leaf.key);
-            let connection_use = connection_use(detail.is_kept, phase, is_crowded);
+            let crowding = Crowding { is_crowded, crowded_leafs: crowded.len() };
+            let connection_use = connection_use(detail.is_kept, phase, crowding);
             let closes_after_use = connection_use.closes_after_use;
             leaf.pool.set_closes_after_use(closes_after_use);
             if let Some(idle_time) = detail.idle_time {
