--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -131,3 +131,12 @@
 
 /// Longest idle time of a connection for calls that may be repeated.
 pub const ANY_IDLE_TIME: Duration = Duration::from_secs(3_600);
+/// Longest idle time of a connection for a call that may not run twice: a leaf that forgets idle
+/// connections resets what is sent next, and the call may have run. The users' pages name 0.3 s as the
+/// shortest time after which leafs do so.
+const FRESH_IDLE_TIME: Duration = Duration::from_millis(250);
+
+/// Returns the longest idle time of a connection for a call.
+pub fn max_idle(is_idempotent: bool) -> Duration {
+    if is_idempotent { ANY_IDLE_TIME } else { FRESH_IDLE_TIME }
+}
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -11,8 +11,8 @@
 
 use crate::answer::OutcomeKind;
 use crate::answer::Reason;
-use crate::call_context::ANY_IDLE_TIME;
 use crate::call_context::CallContext;
+use crate::call_context::max_idle;
 use crate::catalogue::Entry;
 use crate::driver::Driver;
 use crate::driver::Pace;
@@ -51,9 +51,6 @@
 
 /// Work expected of a call before any was seen.
 const UNKNOWN_WORK: Duration = Duration::from_millis(8);
-/// Longest idle time of a connection for a request that may not run twice: a leaf that closes idle
-/// connections could do so just as the request arrives.
-const FRESH_IDLE_TIME: Duration = Duration::from_secs(1);
 
 /// Makes the codec that writes one request's calls.
 pub trait CodecMaker: Send + Sync {
@@ -220,7 +217,7 @@
             relayed: None,
             request: Some(req.id.to_str().unwrap_or_default().into()),
             suspect: Some(fingerprint),
-            max_idle: if entry.idempotent { ANY_IDLE_TIME } else { FRESH_IDLE_TIME },
+            max_idle: max_idle(entry.idempotent),
             charge: None,
             latency,
             deadline: plan.deadline,
