fleet: messages carry the own zone's cards first, those heard last before others

Cause: a message carried 128 cards drawn from all. With 300 hosts, hosts of one zone disagreed on who reads and gathers for them (8 gatherers for 3 zones), as news of some hosts was older than 8 s. Messages now carry up to 128 cards of the own zone and 192 in all, the freshest first, and a reader may be silent for 12 s; one that is gone fails the next question to it anyway. Below 128 hosts nothing changes but the silence. Ruled out: drawing from the far hosts as before, and mixing (a model of 300 hosts: 293 to 299 known at worst in each of the three).

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -4,6 +4,7 @@
 //! a host that nobody heard for a while is gone. Invariants: a card of an earlier run of a process
 //! never replaces that of a later one that was heard since; ages only grow on their way.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -28,7 +29,7 @@
 /// Hosts of a zone from which on some read for the others and one gathers what all see.
 const MIN_FOLLOWED_ZONE: usize = 6;
 /// Time without news after which a host is not relied on as a reader.
-const READER_SILENCE: Duration = Duration::from_secs(8);
+const READER_SILENCE: Duration = Duration::from_secs(12);
 /// Time after a start in which most hosts may not have been heard.
 const DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// Time after a start after which a host knows whether there are many hosts: some exchanges with
@@ -43,7 +44,9 @@
 /// Hosts that there may be before they were heard.
 const UNHEARD_HOSTS: usize = 96;
 /// Cards that one message carries, beside the sender's own.
-const MAX_CARDS: usize = 128;
+const MAX_CARDS: usize = 192;
+/// Cards of the own zone among them.
+const MAX_ZONE_CARDS: usize = 128;
 /// Share of exchanges that go to another zone.
 const OTHER_ZONE_SHARE: f64 = 0.2;
 /// Share of exchanges that go to a seed, so that parts of the fleet that lost each other meet again.
@@ -181,15 +184,21 @@
         silent
     }
 
-    /// Returns the cards to send: this host's own and a sample of the others.
-    pub fn cards(&self, rng: &mut impl Rng, now: Instant) -> Vec<AgedCard> {
+    /// Returns the cards to send: this host's own, those of its zone, on which the zone's
+    /// readers depend, and others; those heard last go first, so that news spread by doubling.
+    pub fn cards(&self, now: Instant) -> Vec<AgedCard> {
         let own = AgedCard { card: self.own.clone(), age: Duration::ZERO };
         let aged = |member: &Member| AgedCard {
             card: member.card.clone(),
             age: now.saturating_duration_since(member.heard_at),
         };
-        let others = self.members.values().choose_multiple(rng, MAX_CARDS);
-        std::iter::once(own).chain(others.into_iter().map(aged)).collect()
+        let is_near = |member: &&Member| member.card.zone == self.own.zone;
+        let (mut near, mut others): (Vec<_>, Vec<_>) = self.members.values().partition(is_near);
+        near.sort_unstable_by_key(|member| Reverse(member.heard_at));
+        others.extend(near.split_off(near.len().min(MAX_ZONE_CARDS)));
+        others.sort_unstable_by_key(|member| Reverse(member.heard_at));
+        others.truncate(MAX_CARDS - near.len());
+        std::iter::once(own).chain(near.into_iter().chain(others).map(aged)).collect()
     }
 
     /// Picks whom to exchange cards with next: mostly a host of the own zone.
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -210,7 +210,7 @@
         let cards = {
             let mut fleet = self.knowledge.fleet.lock().unwrap();
             fleet.set_blind(blind);
-            fleet.cards(&mut rand::rng(), now)
+            fleet.cards(now)
         };
         let strikes = self.tier.crashes.lock().unwrap().counts(now);
         ExchangeMessage { cards, strikes, position: self.knowledge.position() }
