--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -1,8 +1,6 @@
 //! One process that serves opaque requests: wires its parts, and leaves gracefully.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,11 +12,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-use crate::belief::Usability;
 use crate::caller_codec::CallerCodec;
-use crate::connection_share::Crowding;
-use crate::connection_share::HostPhase;
-use crate::connection_share::connection_use;
+use crate::connection_keeper::ConnectionKeeper;
 use crate::distance::Distances;
 use crate::edge::Edge;
 use crate::edge_control::EdgeControl;
@@ -29,14 +24,11 @@
 use crate::fleet_budget::FleetBudget;
 use crate::fleet_budget::FleetLimits;
 use crate::fleet_link::FleetLink;
-use crate::held_connection;
 use crate::http_client::HttpClient;
 use crate::http_leaf::HttpLeafBackend;
 use crate::ids::HostName;
-use crate::ids::LeafKey;
 use crate::ids::Zone;
 use crate::knowledge::Knowledge;
-use crate::leaf::LeafState;
 use crate::log_event;
 use crate::metrics::Metrics;
 use crate::opaque_front::CodecMaker;
@@ -47,8 +39,6 @@
 use crate::publications::Publications;
 use crate::relay_link::RelayLinks;
 use crate::sighting_link::SightingLink;
-use crate::sightings::Seen;
-use crate::sightings::Sighting;
 use crate::signature::KeyRing;
 use crate::steady_clock::PauseWatch;
 use crate::subscriber::Subscriber;
@@ -65,15 +55,6 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// How often a process looks whether it was paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(250);
-/// Shortest time between two connections that are opened ahead of need to one leaf.
-const KEEP_PAUSE: Duration = Duration::from_secs(1);
-/// Time in which a connection that was opened ahead of need and is gone shows a leaf that has too
-/// many.
-const OVERFLOW_TIME: Duration = Duration::from_millis(600);
-/// Pause between two connections that are opened ahead of need.
-const WARM_UP_PAUSE: Duration = Duration::from_millis(2);
-/// How often connections to leafs are looked at.
-const IDLE_CHECK: Duration = Duration::from_millis(250);
 
 /// Checked settings of a process that serves opaque requests.
 #[derive(Clone, Debug)]
@@ -188,7 +169,7 @@
         tokio::spawn(watch_for_pauses(subscriber.wake.clone()));
         tokio::spawn(subscriber.run());
         tokio::spawn(knowledge.clone().expire_lapsed());
-        tokio::spawn(keep_connections(knowledge.clone(), tier.clone()));
+        tokio::spawn(ConnectionKeeper::new(knowledge.clone(), tier.clone()).run());
         tokio::spawn(link.run());
         tokio::spawn(sightings.run());
         tokio::spawn(edge.clone().accept(callers));
@@ -280,51 +261,3 @@
         }
     }
 }
-
-/// Closes connections to leafs that were idle for too long, and opens those that are kept ahead of
-/// need, a few at a time.
-async fn keep_connections(knowledge: Arc<Knowledge>, tier: Arc<Tier>) {
-    let mut opened_at: HashMap<LeafKey, Instant> = HashMap::new();
-    // Leafs that were crowded while this host was new stay so until it no longer is.
-    let mut crowded: HashSet<LeafKey> = HashSet::new();
-    loop {
-        tokio::time::sleep(IDLE_CHECK).await;
-        let view = knowledge.views.get();
-        let phase = knowledge.fleet.lock().unwrap().phase(Instant::now());
-        if phase == HostPhase::Settled {
-            crowded.clear();
-        }
-        for leaf in view.leafs.iter() {
-            let now = Instant::now();
-            let (detail, usability, is_crowded) = {
-                let LeafState { detail, belief, .. } = &*leaf.state();
-                (detail.clone(), belief.usability(now), belief.is_crowded(now))
-            };
-            if is_crowded && phase != HostPhase::Settled {
-                crowded.insert(leaf.key);
-            }
-            let is_crowded = is_crowded || crowded.contains(&leaf.key);
-            let crowding = Crowding { is_crowded, crowded_leafs: crowded.len() };
-            let connection_use = connection_use(detail.is_kept, phase, crowding);
-            let closes_after_use = connection_use.closes_after_use;
-            leaf.pool.set_closes_after_use(closes_after_use);
-            if let Some(idle_time) = detail.idle_time {
-                let idle_time = if closes_after_use { Duration::ZERO } else { idle_time };
-                leaf.pool.close_idle(idle_time, now);
-            }
-            let opened_ago = opened_at.get(&leaf.key).map(|&at| now.saturating_duration_since(at));
-            if leaf.pool.open() == 0 && opened_ago.is_some_and(|ago| ago < OVERFLOW_TIME) {
-                leaf.state().belief.overflowed(now);
-                let sighting = Sighting { leaf: leaf.hash, seen: Seen::Crowded };
-                tier.sightings.lock().unwrap().add(sighting);
-            }
-            let is_wanted = connection_use.opens_ahead && usability == Usability::Usable;
-            let is_due = opened_ago.is_none_or(|ago| ago >= KEEP_PAUSE);
-            if is_wanted && is_due && leaf.pool.open() == 0 {
-                opened_at.insert(leaf.key, now);
-                tokio::spawn(held_connection::warm_up(tier.clone(), leaf.clone()));
-                tokio::time::sleep(WARM_UP_PAUSE).await;
-            }
-        }
-    }
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod catalogue;
 pub mod client;
 pub mod client_watch;
+pub mod connection_keeper;
 pub mod connection_share;
 pub mod control;
 pub mod counters;
