--- a/lib/src/connection_keeper.rs
+++ b/lib/src/connection_keeper.rs
@@ -16,6 +16,7 @@
 use crate::knowledge::Knowledge;
 use crate::leaf::Leaf;
 use crate::leaf::LeafState;
+use crate::pool::BUSY_GAP;
 use crate::sightings::Seen;
 use crate::sightings::Sighting;
 use crate::tier::Tier;
@@ -85,7 +86,7 @@
         }
         if let Some(idle_time) = detail.idle_time {
             let may_rest = !connection_use.closes_after_use;
-            leaf.pool.close_idle(if may_rest { idle_time } else { Duration::ZERO }, now);
+            leaf.pool.close_idle(if may_rest { idle_time } else { BUSY_GAP }, now);
         }
         let is_due = self.opened_ago(leaf, now).is_none_or(|ago| ago >= KEEP_PAUSE);
         let opens = connection_use.opens_ahead
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -8,12 +8,17 @@
 
 use crate::backend::LeafConnection;
 
+/// Time between two calls below which a host is busy at a leaf: opening a connection for each call would
+/// take more of the leaf's room than keeping one.
+pub const BUSY_GAP: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Default)]
 struct PoolState {
     idle: Vec<IdleConnection>,
     open: u32,
     limit: u32,
     closes_after_use: bool,
+    used_at: Option<Instant>,
 }
 
 struct IdleConnection {
@@ -58,7 +63,7 @@
         }
     }
 
-    /// Decides whether connections are closed after each use.
+    /// Decides whether connections are closed after each use, unless calls follow each other closely.
     pub fn set_closes_after_use(&self, closes_after_use: bool) {
         self.state.lock().unwrap().closes_after_use = closes_after_use;
     }
@@ -84,7 +89,10 @@
     /// Gives back a connection whose exchange finished cleanly.
     pub fn put_back(&self, conn: Box<dyn LeafConnection>, now: Instant) {
         let mut state = self.state.lock().unwrap();
-        if state.open > state.limit || state.closes_after_use || !conn.is_usable(now) {
+        let used_at = state.used_at.replace(now);
+        let is_busy = used_at.is_some_and(|at| now.saturating_duration_since(at) < BUSY_GAP);
+        let is_over = state.closes_after_use && !is_busy || state.open > state.limit;
+        if is_over || !conn.is_usable(now) {
             state.open -= 1;
         } else {
             state.idle.push(IdleConnection { conn, since: now });
