--- a/lib/src/connection_share.rs
+++ b/lib/src/connection_share.rs
@@ -20,7 +20,7 @@
 /// Part of a leaf's connections that the hosts near it share.
 const NEAR_PART: f64 = 0.5;
 /// Part of a leaf's connections that hosts keep open ahead of need.
-const KEPT_PART: f64 = 0.75;
+const KEPT_PART: f64 = 0.55;
 /// Idle time after which connections are closed that are not kept.
 const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Crowded leafs from which on a host that has just started takes all leafs for crowded: one or two may
