--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -250,8 +250,39 @@
 
     /// Makes the view of what is known now.
     pub fn make_view(&mut self, hosts: &dyn HostCounter, now: Instant) -> OpaqueView {
-        let mut list = RawHostList::default();
-        let mut members: Vec<(u32, LeafName)> = Vec::new();
+        let leafs = self.list_leafs(hosts);
+        let members: Vec<_> = leafs.iter().map(|h| (h.detail.group, h.name.clone())).collect();
+        let list = RawHostList { leafs, ..RawHostList::default() };
+        let list = match HostList::new(list, &self.registry) {
+            Ok(list) => Arc::new(list),
+            Err(e) => {
+                log_event!(warn, Event::LeafEntryUnusable, cause = %e);
+                return self.view.clone();
+            }
+        };
+        let mut groups: Vec<Vec<LeafKey>> = Vec::new();
+        for (group, name) in members {
+            let place = group.0 as usize;
+            if groups.len() <= place {
+                groups.resize(place + 1, Vec::new());
+            }
+            groups[place].extend(list.leaf_key(&name));
+        }
+        let leafs = Arc::new(self.view.leafs.next(&self.view.hosts, &list, &self.own));
+        self.view = OpaqueView {
+            catalogue: self.catalogue.clone(),
+            hosts: list,
+            leafs,
+            groups: Arc::new(groups),
+            position: self.position(),
+            made_at: now,
+        };
+        self.view.clone()
+    }
+
+    /// Lists the leafs with this host's share of their connections, which depends on the other leafs of
+    /// the same group.
+    fn list_leafs(&mut self, hosts: &dyn HostCounter) -> Vec<LeafHost> {
         let mut listed = Vec::new();
         let mut far_leafs: HashMap<GroupKey, Vec<f64>> = HashMap::new();
         for fed in self.feed.leafs() {
@@ -264,7 +295,7 @@
             }
             listed.push(ListedLeaf { fed, host, group, counts, preference });
         }
-        for ListedLeaf { fed, mut host, group, counts, preference } in listed {
+        let complete = |ListedLeaf { fed, mut host, group, counts, preference }: ListedLeaf<'_>| {
             let limit = self.catalogue.as_ref().and_then(|c| c.connections(group));
             let limit = limit.unwrap_or(UNKNOWN_CONNECTIONS);
             let far = far_leafs.get(&group).map_or(&[][..], Vec::as_slice);
@@ -280,34 +311,9 @@
                 instance: Some(fed.leaf.instance.as_str().into()),
                 group,
             };
-            members.push((group.0, host.name.clone()));
-            list.leafs.push(host);
-        }
-        let list = match HostList::new(list, &self.registry) {
-            Ok(list) => Arc::new(list),
-            Err(e) => {
-                log_event!(warn, Event::LeafEntryUnusable, cause = %e);
-                return self.view.clone();
-            }
+            host
         };
-        let mut groups: Vec<Vec<LeafKey>> = Vec::new();
-        for (group, name) in members {
-            let place = group as usize;
-            if groups.len() <= place {
-                groups.resize(place + 1, Vec::new());
-            }
-            groups[place].extend(list.leaf_key(&name));
-        }
-        let leafs = Arc::new(self.view.leafs.next(&self.view.hosts, &list, &self.own));
-        self.view = OpaqueView {
-            catalogue: self.catalogue.clone(),
-            hosts: list,
-            leafs,
-            groups: Arc::new(groups),
-            position: self.position(),
-            made_at: now,
-        };
-        self.view.clone()
+        listed.into_iter().map(complete).collect()
     }
 }
 
