tests: daemons of the edge's bed listen below the ports of outgoing connections

Cause: "Listening on 127.0.0.1:39109 for readiness failed: Address already in use" stands above it in the output. The bed tried a port out and let go of it; in the range of outgoing connections another one took it before the daemon did, which the proxies in front of leafs and the store have made twice as likely. The bed of the product's own interface had solved this; its function is now the only one.

--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -19,6 +19,7 @@
 use hyper::Response;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use jasmineusher_bench::bed::free_addr;
 use serde_json::Value;
 use serde_json::json;
 use testutils::eventually;
@@ -49,11 +50,6 @@
     pub daemons: Vec<Daemon>,
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound")
-}
-
 impl Daemon {
     fn start(number: usize, store: SocketAddr, seeds: &[SocketAddr], control: SocketAddr) -> Self {
         let (callers, ready) = (free_addr(), free_addr());
