lib: sightings are noted only where hosts share them; a leaf's expected time is worked out once

Every process kept a log of sightings under a lock, also the product's own daemon, in which nobody takes them out: it is made by the exchange of sightings now, and calls and the keeper of connections note through one method. Ranking worked out each candidate's expected time twice and its chance to fail for first calls too, which do not use it. How observations fade and how failures weigh stood twice in belief.

--- a/lib/src/belief.rs
+++ b/lib/src/belief.rs
@@ -109,12 +109,24 @@
 
 impl Told {
     fn weight(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.seen_at);
-        let fading = (-age.as_secs_f64() / TOLD_MEMORY.as_secs_f64()).exp();
+        let fading = fading(self.seen_at, TOLD_MEMORY, now);
         TOLD_PART * fading * (f64::from(self.calls) / TOLD_CALLS).min(1.0)
     }
 }
 
+/// Chances that the next call fails, each weighted by how much its source counts.
+#[derive(Clone, Copy, Debug)]
+struct FailureChance {
+    own: f64,
+    told: f64,
+}
+
+/// Returns how much an observation still counts, from 1 down to 0.
+fn fading(seen_at: Instant, memory: Duration, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(seen_at);
+    (-age.as_secs_f64() / memory.as_secs_f64()).exp()
+}
+
 impl Belief {
     /// Records that a call is about to be written.
     pub fn begun(&mut self, call: CallId, now: Instant) {
@@ -277,11 +289,13 @@
     /// Returns the time by which replicas are compared: the expected answer time and what failures
     /// cost. `typical` is as in [`Belief::expected`].
     pub fn cost(&self, typical: Duration, now: Instant) -> Duration {
-        let told = self.told_weight(now);
-        let own_cost = FAILURE_COST.mul_f64(self.failure_rate * self.weight(now) * (1.0 - told));
-        let told_rate = self.told.map_or(0.0, |told| told.failure_rate);
-        let told_cost = TOLD_FAILURE_COST.mul_f64(told_rate * told);
-        self.expected(typical, now) + own_cost + told_cost
+        self.expected(typical, now) + self.failure_cost(now)
+    }
+
+    /// Returns what failures are expected to cost.
+    pub fn failure_cost(&self, now: Instant) -> Duration {
+        let FailureChance { own, told } = self.failures(now);
+        FAILURE_COST.mul_f64(own) + TOLD_FAILURE_COST.mul_f64(told)
     }
 
     /// Returns the expected time of an answer. `typical` is the time that a call to a sound leaf in
@@ -302,17 +316,20 @@
 
     /// Returns the chance that the next call fails, from 0 to 1.
     pub fn failure_chance(&self, now: Instant) -> f64 {
+        let FailureChance { own, told } = self.failures(now);
+        own + told
+    }
+
+    fn failures(&self, now: Instant) -> FailureChance {
         let told = self.told_weight(now);
         let told_rate = self.told.map_or(0.0, |told| told.failure_rate);
-        self.failure_rate * self.weight(now) * (1.0 - told) + told_rate * told
+        let own = self.failure_rate * self.weight(now) * (1.0 - told);
+        FailureChance { own, told: told_rate * told }
     }
 
     /// Returns how much this host's own observations count by their age.
     fn weight(&self, now: Instant) -> f64 {
-        self.sampled_at.map_or(0.0, |at| {
-            let age = now.saturating_duration_since(at);
-            (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
-        })
+        self.sampled_at.map_or(0.0, |at| fading(at, MEMORY, now))
     }
 
     fn told_weight(&self, now: Instant) -> f64 {
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -38,7 +38,6 @@
 use crate::relay_link::RelayOutcome;
 use crate::relay_link::RelayedCall;
 use crate::sightings::Seen;
-use crate::sightings::Sighting;
 use crate::tier::CONNECT_LIMIT;
 
 /// How long a cancelled call may still answer before its connection is closed.
@@ -342,10 +341,8 @@
         );
     }
 
-    /// Notes for the other hosts of the zone how the call went.
     fn note_sighting(&self, seen: Seen) {
-        let sighting = Sighting { leaf: self.leaf.hash, seen };
-        self.cx.tier.sightings.lock().unwrap().add(sighting);
+        self.cx.tier.note_sighting(&self.leaf, seen);
     }
 
     fn note_answer(&self, answer: &LeafReply<P>, elapsed: Duration, now: Instant) -> CallEnd {
@@ -353,15 +350,11 @@
             let cause = format!("the leaf answers {:?}", answer.status);
             self.log_lost(Event::CallLost, &cause, elapsed);
         }
-        match answer.status {
-            LeafStatus::Ok => self.note_sighting(Seen::Answered(elapsed)),
-            LeafStatus::Shed | LeafStatus::Failed => self.note_sighting(Seen::Failed),
-            _ => {}
-        }
         let mut state = self.leaf.state();
         match answer.status {
             LeafStatus::Shed => {
                 state.belief.shed(now);
+                self.note_sighting(Seen::Failed);
                 self.cx.tier.counters.sheds.increment();
                 return CallEnd::Shed;
             }
@@ -380,8 +373,14 @@
             LeafStatus::VersionUnavailable | LeafStatus::Expired | LeafStatus::Cancelled => {
                 return CallEnd::Other;
             }
-            LeafStatus::Failed => state.belief.failed(now),
-            LeafStatus::Ok => state.belief.answered(elapsed, answer.queued, now),
+            LeafStatus::Failed => {
+                state.belief.failed(now);
+                self.note_sighting(Seen::Failed);
+            }
+            LeafStatus::Ok => {
+                state.belief.answered(elapsed, answer.queued, now);
+                self.note_sighting(Seen::Answered(elapsed));
+            }
         }
         drop(state);
         self.record_latency(elapsed, now);
--- a/lib/src/connection_keeper.rs
+++ b/lib/src/connection_keeper.rs
@@ -18,7 +18,6 @@
 use crate::leaf::LeafState;
 use crate::pool::BUSY_GAP;
 use crate::sightings::Seen;
-use crate::sightings::Sighting;
 use crate::tier::Tier;
 
 /// How often connections to leafs are looked at.
@@ -104,8 +103,7 @@
         let is_fresh = self.opened_ago(leaf, now).is_some_and(|ago| ago < OVERFLOW_TIME);
         if is_fresh && leaf.pool.open() == 0 {
             leaf.state().belief.overflowed(now);
-            let sighting = Sighting { leaf: leaf.hash, seen: Seen::Crowded };
-            self.tier.sightings.lock().unwrap().add(sighting);
+            self.tier.note_sighting(leaf, Seen::Crowded);
         }
     }
 
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -259,8 +259,8 @@
         if matches!(usability, Usability::Draining | Usability::Gone) {
             return None;
         }
-        let is_likely_to_fail = state.belief.failure_chance(self.now) > MAX_HEDGE_FAILURE_CHANCE;
-        if is_hedge && (was_tried || is_likely_to_fail || !state.gate.is_free(class)) {
+        let is_likely_to_fail = || state.belief.failure_chance(self.now) > MAX_HEDGE_FAILURE_CHANCE;
+        if is_hedge && (was_tried || !state.gate.is_free(class) || is_likely_to_fail()) {
             return None;
         }
         let service = state.belief.service();
@@ -272,7 +272,7 @@
         let work =
             self.typical_work.mul_f64(load * LOAD_WEIGHT + rand::rng().random_range(0.0..0.1));
         let mut time = queueing + state.belief.expected(typical, self.now);
-        let mut cost = queueing + state.belief.cost(typical, self.now) + work;
+        let mut penalty = state.belief.failure_cost(self.now) + work;
         let has_connection = leaf.pool.idle() > 0;
         let needs_room = !has_connection && state.belief.is_full(self.now);
         if needs_room && is_hedge {
@@ -280,22 +280,21 @@
         }
         if !has_connection {
             time += self.distances.of(&leaf.host.zone);
-            cost += self.distances.of(&leaf.host.zone);
             if state.detail.own_connections.is_some() && !state.detail.is_kept {
-                cost += SCARCE_CONNECTION_COST;
+                penalty += SCARCE_CONNECTION_COST;
             }
         }
         if needs_room {
-            cost += FULL_LEAF_COST;
+            penalty += FULL_LEAF_COST;
         }
         if leaf.host.zone != *zone {
-            cost += REMOTE_ZONE_COST;
+            penalty += REMOTE_ZONE_COST;
         }
         if was_tried {
-            cost += TRIED_COST;
+            penalty += TRIED_COST;
         }
         let ejected = usability == Usability::Ejected
             || (state.belief.is_on_probe() && state.gate.in_flight() > 0);
-        Some(Candidate { leaf: leaf.key, wait, time, cost, ejected })
+        Some(Candidate { leaf: leaf.key, wait, time, cost: time + penalty, ejected })
     }
 }
--- a/lib/src/sighting_link.rs
+++ b/lib/src/sighting_link.rs
@@ -62,12 +62,13 @@
     /// Exchanges sightings for as long as the process runs.
     pub async fn run(self: Arc<Self>) {
         let mut avoided: HashMap<SocketAddr, Instant> = HashMap::new();
+        let own = self.tier.sightings.get_or_init(Mutex::default);
         loop {
             let pause = EXCHANGE_PAUSE.mul_f64(rand::rng().random_range(0.8..1.2));
             tokio::time::sleep(pause).await;
             let now = Instant::now();
             avoided.retain(|_, until| now < *until);
-            let sightings = self.tier.sightings.lock().unwrap().take();
+            let sightings = own.lock().unwrap().take();
             match self.gatherer(&avoided, now) {
                 Gatherer::Nobody => {}
                 Gatherer::Own => {
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -46,6 +46,8 @@
 use crate::quarantine::Fingerprint;
 use crate::quarantine::Quarantine;
 use crate::relay_link::RelayLinks;
+use crate::sightings::Seen;
+use crate::sightings::Sighting;
 use crate::sightings::SightingLog;
 
 /// Who this process is.
@@ -96,8 +98,8 @@
     pub distances: Mutex<Distances>,
     /// Broken connections that may have been crashes.
     pub crashes: Mutex<CrashWatch>,
-    /// What this host saw of leafs and has not told others yet.
-    pub sightings: Mutex<SightingLog>,
+    /// What this host saw of leafs and has not told others yet, where hosts tell each other.
+    pub sightings: OnceLock<Mutex<SightingLog>>,
     /// Opens connections to leafs.
     pub backend: Box<dyn LeafBackend>,
     /// Calls leafs through other hosts.
@@ -119,7 +121,7 @@
         Self {
             distances: Mutex::new(distances),
             crashes: Mutex::default(),
-            sightings: Mutex::default(),
+            sightings: OnceLock::new(),
             identity,
             counters: Counters::default(),
             quarantine: Mutex::default(),
@@ -149,6 +151,13 @@
         Ok(next)
     }
 
+    /// Notes for other hosts what a leaf did, where hosts tell each other.
+    pub fn note_sighting(&self, leaf: &Leaf, seen: Seen) {
+        if let Some(sightings) = self.sightings.get() {
+            sightings.lock().unwrap().add(Sighting { leaf: leaf.hash, seen });
+        }
+    }
+
     /// Records that a request's connection to a leaf broke.
     pub fn note_broken(&self, leaf: LeafKey, fingerprint: Fingerprint, now: Instant) {
         self.crashes.lock().unwrap().broke(leaf, fingerprint, now);
