lib: one piece of code each for outcomes, accepted connections and a zone's hosts in order

Counting an outcome stood in both fronts, the loop that accepts connections in edge and edge_control, and the choice of a zone's hosts by hashing in readers and gatherer; whether a host settles was worked out beside its phase. Three impl blocks of BackendError are one, Published::is_empty was never called, and the doc of Publications::list named the configuration, which it does not read.

--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -67,17 +67,13 @@
     pub fn proves_not_sent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent { .. })
     }
-}
 
-impl BackendError {
     /// Whether the peer refused the connection: nothing listens at its address.
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { source, .. }
             if source.kind() == std::io::ErrorKind::ConnectionRefused)
     }
-}
 
-impl BackendError {
     /// Whether the leaf may have too many connections: it resets new ones, at once or with their first
     /// request.
     pub fn shows_overflow(&self) -> bool {
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -5,6 +5,8 @@
 
 use serde::Serialize;
 
+use crate::answer::OutcomeKind;
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// Counters that only grow.
@@ -120,3 +122,15 @@
         self.0.load(Ordering::Relaxed)
     }
 }
+
+impl Counters {
+    /// Counts what became of a query.
+    pub fn count_outcome(&self, kind: OutcomeKind) {
+        match kind {
+            OutcomeKind::Complete => self.complete.increment(),
+            OutcomeKind::Partial => self.partial.increment(),
+            OutcomeKind::NotRun => self.not_run.increment(),
+            OutcomeKind::Unknown => self.unknown.increment(),
+        }
+    }
+}
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -56,8 +56,6 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Smallest buffer that the HTTP library accepts for a connection.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Pause after a connection could not be accepted, as for want of descriptors.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What serves callers.
 pub struct Edge {
@@ -116,17 +114,8 @@
 
     /// Accepts connections for as long as the process runs.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve(stream));
-                }
-                Err(e) => {
-                    log_event!(warn, Event::CallerLost, step = "accept", cause = %e);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        let serve = |stream| drop(tokio::spawn(self.clone().serve(stream)));
+        socket::accept_each(listener, serve).await;
     }
 
     async fn serve(self: Arc<Self>, stream: TcpStream) {
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -16,20 +16,19 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::counters::CounterValues;
-use crate::edge::ACCEPT_PAUSE;
 use crate::edge::Edge;
-use crate::events::Event;
 use crate::fleet::HostCard;
 use crate::fleet_link::CHANGES_PATH;
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::knowledge::Knowledge;
-use crate::log_event;
 use crate::metrics::Metrics;
 use crate::sighting_link::SIGHTINGS_PATH;
 use crate::sighting_link::SightingLink;
+use crate::socket;
 use crate::tier::Tier;
 
 /// Path of the metrics.
@@ -94,23 +93,15 @@
 
     /// Accepts connections for as long as the process runs.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    log_event!(warn, Event::CallerLost, step = "accept", cause = %e);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            let control = self.clone();
-            tokio::spawn(async move {
-                let service = service_fn(|req| control.handle(req));
-                let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                // A peer that goes away asks again on another connection.
-                let _ = conn.await;
-            });
-        }
+        let serve = |stream| drop(tokio::spawn(self.clone().serve(stream)));
+        socket::accept_each(listener, serve).await;
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let service = service_fn(|req| self.handle(req));
+        let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // A peer that goes away asks again on another connection.
+        let _ = conn.await;
     }
 
     async fn handle(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -176,11 +176,9 @@
     /// Forgets hosts that nobody heard for a while. Returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         let is_silent = |member: &Member| now.saturating_duration_since(member.heard_at) > SILENCE;
-        let silent: Vec<_> = self.members.iter().filter(|(_, m)| is_silent(m)).collect();
-        let silent: Vec<String> = silent.into_iter().map(|(name, _)| name.clone()).collect();
-        silent.iter().for_each(|name| {
-            self.members.remove(name);
-        });
+        let silent = self.members.iter().filter(|(_, member)| is_silent(member));
+        let silent = silent.map(|(name, _)| name.clone()).collect();
+        self.members.retain(|_, member| !is_silent(member));
         silent
     }
 
@@ -229,9 +227,10 @@
 
     /// Returns how long this host has been there, as far as its connections to leafs go.
     pub fn phase(&self, now: Instant) -> HostPhase {
+        let is_spread = self.members.len() >= LARGE_FLEET && now < self.settled_at;
         if now.saturating_duration_since(self.started_at) < STARTING_TIME {
             HostPhase::Starting
-        } else if self.is_settling(now) {
+        } else if self.is_new(now) || is_spread {
             HostPhase::Settling
         } else {
             HostPhase::Settled
@@ -241,7 +240,7 @@
     /// Whether this host should not yet open connections ahead of need to leafs that have fewer than
     /// there are hosts.
     pub fn is_settling(&self, now: Instant) -> bool {
-        self.is_new(now) || self.members.len() >= LARGE_FLEET && now < self.settled_at
+        self.phase(now) != HostPhase::Settled
     }
 
     /// Returns the number of hosts, this one included, in the zones for which `fits` holds.
@@ -254,19 +253,7 @@
     /// one of them. In a zone of few hosts each reads for itself. Hosts that see different members
     /// for a while read more than needed, never less.
     pub fn readers(&self, now: Instant) -> Vec<SocketAddr> {
-        let is_fit = |member: &&Member| {
-            let age = now.saturating_duration_since(member.heard_at);
-            member.card.zone == self.own.zone
-                && !member.card.leaving
-                && !member.card.blind
-                && age < READER_SILENCE
-        };
-        let others = self.members.values().filter(is_fit).map(|member| &member.card);
-        let mut cards: Vec<_> = others.chain([&self.own]).collect();
-        if cards.len() < MIN_FOLLOWED_ZONE {
-            return Vec::new();
-        }
-        cards.sort_by_key(|card| xxh3_64(card.name.as_bytes()));
+        let mut cards = self.zone_in_order(|card| !card.blind, now);
         cards.truncate(READERS_PER_ZONE);
         if cards.iter().any(|card| card.name == self.own.name) {
             return Vec::new();
@@ -277,20 +264,30 @@
     /// Returns who gathers what the hosts of the own zone see: the first by hashing that is not
     /// `avoided`. Hosts that see different members for a while gather in parts.
     pub fn gatherer(&self, avoided: impl Fn(SocketAddr) -> bool, now: Instant) -> Gatherer {
+        let cards = self.zone_in_order(|_| true, now);
+        let is_own = |card: &HostCard| card.name == self.own.name;
+        match cards.into_iter().find(|card| is_own(card) || !avoided(card.addr)) {
+            Some(card) if is_own(card) => Gatherer::Own,
+            Some(card) => Gatherer::Other(card.addr),
+            None => Gatherer::Nobody,
+        }
+    }
+
+    /// Returns the hosts of the own zone that may act for others, this one included, in an order by
+    /// hashing; nothing in a zone of few hosts, where each acts for itself.
+    fn zone_in_order(&self, fits: impl Fn(&HostCard) -> bool, now: Instant) -> Vec<&HostCard> {
         let is_fit = |member: &&Member| {
             let age = now.saturating_duration_since(member.heard_at);
-            member.card.zone == self.own.zone && !member.card.leaving && age < READER_SILENCE
+            let card = &member.card;
+            card.zone == self.own.zone && !card.leaving && fits(card) && age < READER_SILENCE
         };
-        let others: Vec<_> = self.members.values().filter(is_fit).map(|m| &m.card).collect();
-        if others.len() + 1 < MIN_FOLLOWED_ZONE {
-            return Gatherer::Nobody;
-        }
-        let sound = others.into_iter().filter(|card| !avoided(card.addr));
-        let first = sound.chain([&self.own]).min_by_key(|card| xxh3_64(card.name.as_bytes()));
-        match first {
-            Some(card) if card.name != self.own.name => Gatherer::Other(card.addr),
-            _ => Gatherer::Own,
+        let others = self.members.values().filter(is_fit).map(|member| &member.card);
+        let mut cards: Vec<_> = others.chain([&self.own]).collect();
+        if cards.len() < MIN_FOLLOWED_ZONE {
+            return Vec::new();
         }
+        cards.sort_by_key(|card| xxh3_64(card.name.as_bytes()));
+        cards
     }
 
     /// Returns all cards, for the state dump.
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -10,7 +10,6 @@
 use tokio::sync::mpsc;
 
 use crate::answer::MAX_HITS;
-use crate::answer::OutcomeKind;
 use crate::answer::QueryAnswer;
 use crate::answer::QueryRequest;
 use crate::answer::Reason;
@@ -85,20 +84,10 @@
             Ok(admitted) => admitted.run(self, gone).await,
             Err(refusal) => QueryAnswer::from(refusal),
         };
-        self.count(&answer);
+        self.tier.counters.count_outcome(answer.outcome);
         answer
     }
 
-    fn count(&self, answer: &QueryAnswer) {
-        let counters = &self.tier.counters;
-        match answer.outcome {
-            OutcomeKind::Complete => counters.complete.increment(),
-            OutcomeKind::Partial => counters.partial.increment(),
-            OutcomeKind::NotRun => counters.not_run.increment(),
-            OutcomeKind::Unknown => counters.unknown.increment(),
-        }
-    }
-
     fn admit(&self, req: &QueryRequest, arrived: Instant) -> Result<Admitted, Refusal> {
         let view = self.tier.view();
         if req.hits > MAX_HITS {
--- a/lib/src/leaf_feed.rs
+++ b/lib/src/leaf_feed.rs
@@ -121,8 +121,8 @@
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         self.gone.retain(|_, gone| now.saturating_duration_since(gone.at) < GONE_MEMORY);
         let is_over = |fed: &FedLeaf| fed.lapsed_until.is_some_and(|until| until <= now);
-        let over: Vec<_> = self.leafs.iter().filter(|(_, fed)| is_over(fed)).collect();
-        let over: Vec<String> = over.into_iter().map(|(instance, _)| instance.clone()).collect();
+        let over = self.leafs.iter().filter(|(_, fed)| is_over(fed));
+        let over: Vec<String> = over.map(|(instance, _)| instance.clone()).collect();
         over.iter().for_each(|instance| self.bury(instance, now));
         over
     }
--- a/lib/src/opaque_front.rs
+++ b/lib/src/opaque_front.rs
@@ -95,7 +95,7 @@
         match self.admit(&req, fingerprint, &view, arrived) {
             Ok(entry) => self.run(req, fingerprint, view, entry, arrived).await,
             Err(own) => {
-                self.tier.counters.not_run.increment();
+                self.tier.counters.count_outcome(OutcomeKind::NotRun);
                 log_event!(
                     info,
                     Event::RequestRefused,
@@ -239,13 +239,7 @@
         let (kind, reason) = (outcome.kind, outcome.reason);
         let (shards, merged, calls) = (outcome.shards, outcome.parts.len(), outcome.calls);
         let answer = answer_of(spec, outcome);
-        let counters = &self.tier.counters;
-        match kind {
-            OutcomeKind::Complete => counters.complete.increment(),
-            OutcomeKind::Partial => counters.partial.increment(),
-            OutcomeKind::NotRun => counters.not_run.increment(),
-            OutcomeKind::Unknown => counters.unknown.increment(),
-        }
+        self.tier.counters.count_outcome(kind);
         let status = status_of(&answer);
         self.metrics.answered(spec.entry.name.as_str(), kind, elapsed);
         log_event!(
--- a/lib/src/publications.rs
+++ b/lib/src/publications.rs
@@ -79,7 +79,7 @@
 
 /// Reads what the platform publishes.
 pub trait Publications: Send + Sync {
-    /// Reads the configuration and the first or a further page of the leafs.
+    /// Reads the first or a further page of the leafs.
     fn list(&self, after: Option<String>) -> BoxFuture<'_, Result<Page>>;
 
     /// Reads the configuration.
--- a/lib/src/published.rs
+++ b/lib/src/published.rs
@@ -66,11 +66,6 @@
         self.position
     }
 
-    /// Whether nothing was read yet.
-    pub fn is_empty(&self) -> bool {
-        self.position == Revision(0)
-    }
-
     /// Takes in changes. Returns those that are news, removals of what a whole set does not name
     /// included.
     pub fn apply(&mut self, set: ChangeSet) -> Vec<Change> {
