crash_detector: log received strikes and the request of each lost call

Callers of one deployment saw a crashing request sent to leafs again and again. Three causes were possible (docs/incidents/crashing-request-retries.md), and the log told none of them apart: a lost call did not say which request it belonged to, strikes received from another host were not logged, and the state dump had none. Decisions are unchanged.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -348,6 +348,7 @@
             info,
             event,
             request = self.cx.request.as_deref(),
+            fingerprint = self.cx.crash_detector_fingerprint.map(|f| f.to_string()),
             shard = self.send.call.shard.0,
             leaf = self.leaf.host.name.as_str(),
             addr = %self.leaf.host.addr,
--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -12,7 +12,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::events::Event;
 use crate::ids::LeafKey;
+use crate::log_event;
 use crate::quarantine::Fingerprint;
 
 /// Time after a broken connection within which a refused one indicates a crash.
@@ -29,10 +31,22 @@
 pub struct Strike {
     /// Identifies the request.
     pub fingerprint: Fingerprint,
+    /// Number of strikes of the request, with this one counted.
+    pub strikes: u32,
     /// Whether the request is blocked, with this strike counted.
     pub is_blocked: bool,
 }
 
+impl Strike {
+    /// Logs the strike. `source` says whether this host (`own`) or another one (`peer`) attributed
+    /// it to the request.
+    pub fn log(&self, source: &'static str) {
+        let event = if self.is_blocked { Event::RequestBlocked } else { Event::RequestSuspected };
+        let Self { fingerprint, strikes, .. } = self;
+        log_event!(warn, event, fingerprint = %fingerprint, strikes, source);
+    }
+}
+
 /// Number of strikes of one request, as sent to other hosts.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StrikeCount {
@@ -86,7 +100,7 @@
     fn add_strike(&mut self, fingerprint: Fingerprint, now: Instant) -> Strike {
         let strikes = self.strikes(fingerprint, now) + 1;
         self.set_strikes(fingerprint, strikes, now);
-        Strike { fingerprint, is_blocked: strikes >= BLOCKING_STRIKES }
+        Strike { fingerprint, strikes, is_blocked: strikes >= BLOCKING_STRIKES }
     }
 
     fn set_strikes(&mut self, fingerprint: Fingerprint, strikes: u32, now: Instant) {
@@ -109,10 +123,14 @@
 
     /// Merges another host's count: the higher one applies. Hosts that detect further crashes add
     /// them to the highest count reported to them, so that three crashes anywhere block a request.
-    pub fn merge(&mut self, reported: StrikeCount, now: Instant) {
-        if reported.strikes > self.strikes(reported.fingerprint, now) {
-            self.set_strikes(reported.fingerprint, reported.strikes, now);
+    /// Returns the state of the request if the count was higher than this host's.
+    pub fn merge(&mut self, reported: StrikeCount, now: Instant) -> Option<Strike> {
+        let StrikeCount { fingerprint, strikes } = reported;
+        if strikes <= self.strikes(fingerprint, now) {
+            return None;
         }
+        self.set_strikes(fingerprint, strikes, now);
+        Some(Strike { fingerprint, strikes, is_blocked: strikes >= BLOCKING_STRIKES })
     }
 
     /// Returns the live counts, to be sent to other hosts.
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -22,6 +22,7 @@
 use crate::call_report_link::CallReportLink;
 use crate::cluster_state::ClusterState;
 use crate::counters::CounterValues;
+use crate::crash_detector::StrikeCount;
 use crate::edge::Edge;
 use crate::fleet::HostRecord;
 use crate::fleet_link::CHANGES_PATH;
@@ -67,6 +68,7 @@
     in_progress: usize,
     hosts: Vec<HostRecord>,
     leafs: Vec<LeafState>,
+    suspects: Vec<StrikeCount>,
     counters: CounterValues,
 }
 
@@ -154,6 +156,7 @@
             in_progress: self.edge.in_progress(),
             hosts: self.cluster_state.fleet.lock().unwrap().members().cloned().collect(),
             leafs: leafs.collect(),
+            suspects: self.tier.crash_detector.lock().unwrap().counts(now),
             counters: self.tier.counters.values(),
         }
     }
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -226,8 +226,11 @@
 
     fn apply_message(&self, message: ExchangeMessage) {
         let now = Instant::now();
-        for strike in message.strikes {
-            self.tier.crash_detector.lock().unwrap().merge(strike, now);
+        for count in message.strikes {
+            let merged = self.tier.crash_detector.lock().unwrap().merge(count, now);
+            if let Some(strike) = merged {
+                strike.log("peer");
+            }
         }
         let changes = self.cluster_state.fleet.lock().unwrap().merge_records(message.cards, now);
         for host in &changes.joined {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! blocked: it is refused for some time.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,6 +29,12 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl Fingerprint {
     /// Computes the fingerprint of a request for a catalogue entry.
     pub fn of(entry: &EntryName, params: &str) -> Self {
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -29,7 +29,6 @@
 use crate::documents::Document;
 use crate::documents::Result;
 use crate::documents::View;
-use crate::events::Event;
 use crate::hosts::LeafRegistry;
 use crate::ids::EntryName;
 use crate::ids::HostName;
@@ -174,14 +173,7 @@
     /// refused a new connection, since together the two show a crash. Logs each strike.
     pub fn strike_recent_requests(&self, leaf: LeafKey, now: Instant) {
         let strikes = self.crash_detector.lock().unwrap().record_refusal(leaf, now);
-        for strike in strikes {
-            let event =
-                if strike.is_blocked { Event::RequestBlocked } else { Event::RequestSuspected };
-            event.warn(&format!(
-                "Request {:016x} broke its connection to leaf key {leaf}, which then refused one",
-                strike.fingerprint.0
-            ));
-        }
+        strikes.into_iter().for_each(|strike| strike.log("own"));
     }
 
     /// Returns a query id that this process has not used before. The incarnation makes it differ
--- a/lib/tests/test_fleet_hosts.rs
+++ b/lib/tests/test_fleet_hosts.rs
@@ -242,7 +242,7 @@
         let strikes = one.record_refusal(LeafKey(leaf), now + SECOND);
         assert!(strikes.iter().all(|strike| !strike.is_blocked));
     }
-    one.counts(now).into_iter().for_each(|count| other.merge(count, now));
+    one.counts(now).into_iter().for_each(|count| _ = other.merge(count, now));
     other.record_break(LeafKey(7), request, now);
     assert!(other.record_refusal(LeafKey(7), now).iter().all(|strike| strike.is_blocked));
     assert!(other.is_blocked(request, now));
