tests: reproduce retries of a request that crashes leafs

Callers of one deployment saw a request that crashes leafs sent to further leafs long after the third crash.

--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use jasmineusher_bench::bed::free_addr;
 use jasmineusher_bench::proxy::Network;
@@ -16,6 +17,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::Store;
 
 /// How a leaf responds to a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -37,6 +41,20 @@
     Truncated,
 }
 
+/// How a leaf is down after a request has crashed it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Downtime {
+    /// Its connections are reset, and new ones are refused.
+    Refusing,
+    /// Its connections stay open, and nothing is answered on them or on new ones.
+    Silent,
+}
+
+/// Part of a path that marks a request which crashes each leaf that starts to run it.
+pub const CRASHING_PATH: &str = "/crash";
+/// Time after a crash until the leaf runs again, as a new incarnation.
+const RESTART_TIME: Duration = Duration::from_millis(2_300);
+
 /// A running stand-in leaf. It ends when its runtime does.
 pub struct Leaf {
     /// Instance name, which calls must carry.
@@ -49,9 +67,12 @@
     runs: Mutex<HashMap<String, usize>>,
     arrivals: AtomicUsize,
     abandoned: AtomicUsize,
+    /// Time of each crash. Its length is the number of the leaf's incarnation.
+    crashes: watch::Sender<Vec<Instant>>,
 }
 
 struct Head {
+    path: String,
     id: String,
     target: String,
     deadline_ms: Option<u64>,
@@ -72,16 +93,92 @@
             runs: Mutex::default(),
             arrivals: AtomicUsize::new(0),
             abandoned: AtomicUsize::new(0),
+            crashes: watch::Sender::default(),
         });
         let acceptor = leaf.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(acceptor.clone().serve(stream));
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let leaf = acceptor.clone();
+                tokio::spawn(async move { leaf.serve(&mut stream).await });
             }
         });
         leaf
     }
 
+    /// Starts a leaf without a proxy, so that it can refuse connections. It crashes when it runs a
+    /// request whose path contains [`CRASHING_PATH`], and publishes a new entry when it runs again.
+    pub async fn start_crashing(
+        instance: &str,
+        group: &str,
+        store: Arc<Store>,
+        downtime: Downtime,
+    ) -> Arc<Self> {
+        let addr = free_addr();
+        let leaf = Arc::new(Self {
+            instance: instance.to_owned(),
+            group: group.to_owned(),
+            addr,
+            behaviour: Mutex::default(),
+            runs: Mutex::default(),
+            arrivals: AtomicUsize::new(0),
+            abandoned: AtomicUsize::new(0),
+            crashes: watch::Sender::default(),
+        });
+        let listener = TcpListener::bind(addr).await.expect("the port is free");
+        store.put_leaf(&leaf, "ready", 1);
+        tokio::spawn(leaf.clone().run_incarnations(listener, store, downtime));
+        leaf
+    }
+
+    async fn run_incarnations(
+        self: Arc<Self>,
+        mut listener: TcpListener,
+        store: Arc<Store>,
+        downtime: Downtime,
+    ) {
+        let mut crashes = self.crashes.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    tokio::spawn(self.clone().serve_until_crash(stream, downtime));
+                    continue;
+                }
+                _ = crashes.changed() => {}
+            }
+            if downtime == Downtime::Refusing {
+                drop(listener);
+                tokio::time::sleep(RESTART_TIME).await;
+                listener = TcpListener::bind(self.addr).await.expect("the port is still free");
+            } else {
+                tokio::time::sleep(RESTART_TIME).await;
+            }
+            store.put_leaf(&self, "ready", 1);
+        }
+    }
+
+    async fn serve_until_crash(self: Arc<Self>, mut stream: TcpStream, downtime: Downtime) {
+        let mut crashes = self.crashes.subscribe();
+        tokio::select! {
+            () = self.clone().serve(&mut stream) => return,
+            _ = crashes.changed() => {}
+        }
+        if downtime == Downtime::Silent {
+            tokio::time::sleep(RESTART_TIME).await;
+        }
+        reset_on_close(&stream);
+    }
+
+    /// Returns the time of each crash of this leaf.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.crashes.borrow().clone()
+    }
+
+    /// Returns the start of the leaf's present incarnation, as published in its entry.
+    pub fn born_ms(&self) -> u64 {
+        1_784_903_585_067 + self.crashes.borrow().len() as u64
+    }
+
     /// Sets how the leaf responds from the next request on.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         *self.behaviour.lock().unwrap() = behaviour;
@@ -102,9 +199,9 @@
         self.abandoned.load(Ordering::Relaxed)
     }
 
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: &mut TcpStream) {
         let mut buf = Vec::new();
-        while let Some(head) = read_request(&mut stream, &mut buf).await {
+        while let Some(head) = read_request(stream, &mut buf).await {
             self.arrivals.fetch_add(1, Ordering::Relaxed);
             if head.target != self.instance {
                 let text = "HTTP/1.1 421 Misdirected Request\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
@@ -121,6 +218,11 @@
             if behaviour != Behaviour::Shed {
                 *self.runs.lock().unwrap().entry(head.id.clone()).or_default() += 1;
             }
+            if head.path.contains(CRASHING_PATH) {
+                self.crashes.send_modify(|crashes| crashes.push(Instant::now()));
+                // The connection is closed, or falls silent, where the crash is observed.
+                return std::future::pending().await;
+            }
             if let Behaviour::Slow(ms) = behaviour {
                 let mut byte = [0];
                 tokio::select! {
@@ -131,7 +233,7 @@
                     }
                 }
             }
-            if self.respond(&mut stream, &head, behaviour).await.is_none() {
+            if self.respond(stream, &head, behaviour).await.is_none() {
                 return;
             }
         }
@@ -191,6 +293,7 @@
         line.map(str::to_owned)
     };
     let head = Head {
+        path: text.split(' ').nth(1).unwrap_or_default().to_owned(),
         id: field("x-request-id").unwrap_or_default(),
         target: field("x-target-instance").unwrap_or_default(),
         deadline_ms: field("x-request-deadline").and_then(|text| text.parse().ok()),
--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -28,6 +28,8 @@
 use tokio::net::TcpStream;
 
 pub use leaf::Behaviour;
+pub use leaf::CRASHING_PATH;
+pub use leaf::Downtime;
 pub use leaf::Leaf;
 pub use store::Store;
 
@@ -148,6 +150,35 @@
                 leafs.push(leaf);
             }
         }
+        Self::start_daemons(network, store, leafs, shards, daemons).await
+    }
+
+    /// Starts a test bed whose leafs crash when they run a request with [`CRASHING_PATH`] in its
+    /// path.
+    pub async fn start_with_crashing_leafs(
+        shards: usize,
+        replicas: usize,
+        daemons: usize,
+        downtime: Downtime,
+    ) -> Self {
+        let network = Network::default();
+        let store = Store::start(&network).await;
+        let mut leafs = Vec::new();
+        for (shard, replica) in (0..shards).flat_map(|s| (0..replicas).map(move |r| (s, r))) {
+            let (instance, group) = (format!("i-{shard}-{replica}"), format!("shard{shard}"));
+            let leaf = Leaf::start_crashing(&instance, &group, store.clone(), downtime).await;
+            leafs.push(leaf);
+        }
+        Self::start_daemons(network, store, leafs, shards, daemons).await
+    }
+
+    async fn start_daemons(
+        network: Network,
+        store: Arc<Store>,
+        leafs: Vec<Arc<Leaf>>,
+        shards: usize,
+        daemons: usize,
+    ) -> Self {
         store.put("op/config", &configuration(1, shards));
         let controls: Vec<_> = (0..daemons).map(|_| free_addr()).collect();
         let seeds = &controls[..daemons.min(2)];
--- a/cli/tests/test_edge/edge_bed/store.rs
+++ b/cli/tests/test_edge/edge_bed/store.rs
@@ -106,7 +106,7 @@
     pub fn put_leaf(&self, leaf: &Leaf, state: &str, sequence: u64) {
         let value = json!({"service": leaf.group, "address": leaf.addr.to_string(), "zone": "muc-a",
             "version": "v1", "max_concurrency": 2, "state": state, "cold_left_ms": 0,
-            "sequence": sequence, "born": 1_784_903_585_067_u64});
+            "sequence": sequence, "born": leaf.born_ms()});
         self.put(&format!("servers/{}", leaf.instance), &value);
     }
 
--- a/lib/tests/test_fleet_hosts.rs
+++ b/lib/tests/test_fleet_hosts.rs
@@ -230,6 +230,40 @@
     assert_eq!(crashes.record_refusal(LeafKey(99), now), []);
 }
 
+/// Three hosts each attribute one crash to the request before they hear of each other. If a merge
+/// kept only the greatest count, the request would go on running on every host.
+#[test]
+fn crashes_counted_by_three_hosts_at_once_add_up_to_three() {
+    let now = Instant::now();
+    let request = Fingerprint(1);
+    let mut hosts: [CrashDetector; 3] = Default::default();
+    for (host, leaf) in hosts.iter_mut().zip(0..) {
+        host.record_break(LeafKey(leaf), request, now);
+        host.record_refusal(LeafKey(leaf), now);
+    }
+    for _ in 0..3 {
+        for from in 0..3 {
+            let counts = hosts[from].counts(now);
+            for host in &mut hosts {
+                counts.iter().for_each(|&count| _ = host.merge(count, now));
+            }
+        }
+    }
+    assert!(hosts.iter().all(|host| host.is_blocked(request, now)), "{hosts:?}");
+}
+
+/// Several calls of one request run on a leaf when it is lost. That is one crash, and it may have
+/// another cause.
+#[test]
+fn one_lost_leaf_with_three_calls_of_a_request_does_not_block_it() {
+    let now = Instant::now();
+    let mut crashes = CrashDetector::default();
+    let request = Fingerprint(1);
+    (0..3).for_each(|_| crashes.record_break(LeafKey(4), request, now));
+    crashes.record_refusal(LeafKey(4), now);
+    assert!(!crashes.is_blocked(request, now));
+}
+
 /// If hosts did not merge each other's strikes, a poison request that is resent through all hosts
 /// could crash several leafs on each of them.
 #[test]
