quarantine: exchange crashes instead of numbers of them

What callers saw: a request under which three leafs had crashed was sent to further leafs.

Cause: hosts counted strikes and kept the greater of their own and a reported number. Crashes that different hosts detected side by side were lost, and one leaf lost with three calls of a request counted as three crashes, for innocent requests too. The class of fault: a number of observations is merged where a set of facts is needed. The own interface had a second table for the same job, in which a host's suspicion of one leaf and another host's of a second did not add up either, and whose block never lengthened, as its record was dropped when it expired.

Now one table serves both interfaces. A crash is a fact, identified by the request and the lost incarnation of a leaf, and hosts unite their sets. All requests on a lost leaf are suspected; an answer of any leaf clears a request on all hosts and protects it for 3 s; a suspected request runs as a probe, a single call; a block needs a probe's crash, so that leafs lost together block nobody. The platform's side blocks after three crashes, the own interface after two, as before.

The elements of the exchanged lists changed: hosts of the version before refuse a message that holds one, and accept messages without.

--- a/cli/tests/test_edge/crashing_requests.rs
+++ b/cli/tests/test_edge/crashing_requests.rs
@@ -24,6 +24,13 @@
 /// Text of the refusal of a request that has crashed leafs.
 const REFUSAL: &str = "crashed several leafs";
 
+/// Returns the number of hosts and of leafs of each shard, from `CRASH_HOSTS` and `CRASH_REPLICAS`
+/// if they are set.
+fn hosts_and_replicas(replicas: usize) -> (usize, usize) {
+    let from_env = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    (from_env("CRASH_HOSTS").unwrap_or(6), from_env("CRASH_REPLICAS").unwrap_or(replicas))
+}
+
 /// Attempts of one request, sent at regular intervals through one daemon after the other, each
 /// without waiting for the answer of the one before.
 struct Attempts {
@@ -94,24 +101,28 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashes_leafs_which_fall_silent_stops_reaching_leafs() {
-    let bed = EdgeBed::start_with_crashing_leafs(1, 16, 6, Downtime::Silent).await;
+    let (hosts, replicas) = hosts_and_replicas(16);
+    let bed = EdgeBed::start_with_crashing_leafs(1, replicas, hosts, Downtime::Silent).await;
     check_crashing_request(&bed, "one", Duration::from_millis(250)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashes_leafs_which_refuse_connections_stops_reaching_leafs() {
-    let bed = EdgeBed::start_with_crashing_leafs(1, 16, 6, Downtime::Refusing).await;
+    let (hosts, replicas) = hosts_and_replicas(16);
+    let bed = EdgeBed::start_with_crashing_leafs(1, replicas, hosts, Downtime::Refusing).await;
     check_crashing_request(&bed, "one", Duration::from_millis(250)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gathered_request_that_crashes_leafs_blocks_no_other_request() {
-    let bed = EdgeBed::start_with_crashing_leafs(4, 6, 6, Downtime::Refusing).await;
+    let (hosts, replicas) = hosts_and_replicas(6);
+    let bed = EdgeBed::start_with_crashing_leafs(4, replicas, hosts, Downtime::Refusing).await;
     check_crashing_request(&bed, "all", Duration::from_millis(400)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gathered_request_that_crashes_silent_leafs_stops_reaching_leafs() {
-    let bed = EdgeBed::start_with_crashing_leafs(4, 6, 6, Downtime::Silent).await;
+    let (hosts, replicas) = hosts_and_replicas(6);
+    let bed = EdgeBed::start_with_crashing_leafs(4, replicas, hosts, Downtime::Silent).await;
     check_crashing_request(&bed, "all", Duration::from_millis(400)).await;
 }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -3,6 +3,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +21,7 @@
 use crate::call_context::CallEvent;
 use crate::call_context::ChargeTo;
 use crate::call_reports::CallOutcome;
+use crate::crash_detector::UnansweredCall;
 use crate::error_text::with_sources;
 use crate::events::Event;
 use crate::held_connection::HeldConnection;
@@ -185,6 +187,9 @@
             Some(Ok(response)) => match self.cx.codec.decode_reply(&outgoing, response) {
                 Ok(mut reply) => {
                     held.put_back();
+                    if !reply.status.proves_not_run() {
+                        self.record_run(now);
+                    }
                     let call_end = self.record_reply(&reply, elapsed, now);
                     let run_time = || (!reply.status.proves_not_run()).then_some(elapsed);
                     let estimate = run_time().map(|time| time.as_micros() as u64);
@@ -204,11 +209,12 @@
                 let loss = match self.cx.crash_detector_fingerprint {
                     _ if e.proves_not_sent() => CallLoss::NotSent,
                     None => CallLoss::Broken,
-                    Some(fingerprint) => {
-                        self.cx.tier.track_broken_connection(self.leaf.key, fingerprint, now);
-                        CallLoss::Garbled
-                    }
+                    Some(_) if self.send.is_probe => CallLoss::Broken,
+                    Some(_) => CallLoss::Garbled,
                 };
+                if loss != CallLoss::NotSent {
+                    self.track_unanswered(started, now);
+                }
                 let effort = match loss {
                     CallLoss::NotSent => Effort::None,
                     _ => Effort::Estimated(elapsed.as_micros() as u64),
@@ -231,6 +237,31 @@
         }
     }
 
+    /// Records that the leaf ran the request and answered. Only the first answer to a request is of
+    /// interest.
+    fn record_run(&self, now: Instant) {
+        let Some(fingerprint) = self.cx.crash_detector_fingerprint else { return };
+        if !self.cx.answered.swap(true, Ordering::Relaxed) {
+            self.cx.tier.record_answered_request(fingerprint, now);
+        }
+    }
+
+    /// Records this call as unanswered, unless another leaf has answered the request.
+    fn track_unanswered(&self, started_at: Instant, now: Instant) {
+        let Some(fingerprint) = self.cx.crash_detector_fingerprint else { return };
+        if self.cx.answered.load(Ordering::Relaxed) {
+            return;
+        }
+        let call = UnansweredCall {
+            fingerprint,
+            leaf: self.leaf.key,
+            leaf_hash: self.leaf.hash,
+            started_at,
+            was_probe: self.send.is_probe,
+        };
+        self.cx.tier.track_unanswered_call(call, now);
+    }
+
     /// Sends the request and returns its response, or nothing if the call was cancelled and no
     /// response arrived within [`CANCEL_GRACE`] after that.
     async fn exchange_or_cancel(
--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -119,9 +120,11 @@
     /// The caller's id of the request, for the log.
     pub request: Option<Arc<str>>,
     /// Fingerprint of the request, present if a broken connection alone does not indicate that the
-    /// request crashed the leaf. The crash detector then records the calls' broken connections
+    /// request crashed the leaf. The crash detector then records the calls that are not answered
     /// under it. If absent, a broken connection makes the request suspected at once.
     pub crash_detector_fingerprint: Option<Fingerprint>,
+    /// Whether a leaf has run the request and answered, so that it is no poison request.
+    pub answered: AtomicBool,
     /// Longest idle time of a connection that may carry the calls. It is short for calls that must
     /// not be repeated, as the leaf may be closing a connection that was idle for longer.
     pub max_idle: Duration,
--- a/lib/src/coordinator.rs
+++ b/lib/src/coordinator.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,7 +24,6 @@
 use crate::driver::Driver;
 use crate::driver::Step;
 use crate::driver::WorkTimes;
-use crate::events::Event;
 use crate::extra_calls::EntryBudget;
 use crate::ids::Attempt;
 use crate::ids::IndexVersion;
@@ -33,12 +33,15 @@
 use crate::leaf_protocol::Hit;
 use crate::plan::QueryPlan;
 use crate::plan::Suspicion;
+use crate::quarantine::Crash;
 use crate::quarantine::Decision;
 use crate::quarantine::Fingerprint;
+use crate::query::BrokenCall;
 use crate::query::Query;
 use crate::search_codec::CallSpec;
 use crate::search_codec::SearchCodec;
 use crate::tier::EntryState;
+use crate::tier::LossCause;
 use crate::tier::Tier;
 
 /// Retry-after time of a refusal when there is no better estimate.
@@ -104,7 +107,7 @@
         };
         let deadline = arrived_at + req.deadline.map_or(entry.deadline, |d| d.min(entry.deadline));
         let fingerprint = Fingerprint::of(&entry.name, req.params.get());
-        let suspicion = self.check_quarantine(&entry, fingerprint, deadline)?;
+        let suspicion = self.check_quarantine(&entry, fingerprint)?;
         let entry_state = self.tier.entry_state(&entry, arrived_at);
         let permit = LimitPermit::acquire(&entry, entry_state, arrived_at)?;
         let req = req.clone();
@@ -117,10 +120,9 @@
         &self,
         entry: &Entry,
         fingerprint: Fingerprint,
-        deadline: Instant,
     ) -> Result<Suspicion, Refusal> {
         let now = Instant::now();
-        let decision = self.tier.quarantine.lock().unwrap().decide(fingerprint, deadline, now);
+        let decision = self.tier.quarantine.lock().unwrap().decide(fingerprint, now);
         match decision {
             Decision::Run => Ok(Suspicion::Clear),
             Decision::Probe => Ok(Suspicion::Suspected),
@@ -132,30 +134,21 @@
         }
     }
 
-    /// Updates the quarantine and, if the request is newly suspected or blocked, logs it and
-    /// reports it to other hosts.
-    async fn record_suspicion(&self, fingerprint: Fingerprint, suspicion: Suspicion) {
-        let now = Instant::now();
-        let is_new = {
-            let mut quarantine = self.tier.quarantine.lock().unwrap();
-            match suspicion {
-                Suspicion::Clear => {
-                    quarantine.clear(fingerprint);
-                    false
-                }
-                Suspicion::Suspected => quarantine.suspect(fingerprint, now),
-                Suspicion::Blocked => quarantine.block(fingerprint, now),
-            }
-        };
-        if !is_new {
-            return;
+    /// Records the broken calls of a query in the quarantine. Reports the request to other hosts if
+    /// it is newly suspected or blocked.
+    async fn record_broken_calls(
+        &self,
+        fingerprint: Fingerprint,
+        broken: Vec<BrokenCall>,
+        leafs: &LeafTable,
+    ) {
+        let mut is_transition = false;
+        for BrokenCall { leaf, was_probe } in broken {
+            let Some(leaf) = leafs.get(leaf) else { continue };
+            let crash = Crash { fingerprint, leaf: leaf.hash, was_probe };
+            is_transition |= self.tier.record_crash(crash, LossCause::Broken, Instant::now());
         }
-        let event = match suspicion {
-            Suspicion::Blocked => Event::RequestBlocked,
-            _ => Event::RequestSuspected,
-        };
-        event.warn(&format!("Request {:016x}", fingerprint.0));
-        if let Some(strike_broadcaster) = &self.strike_broadcaster {
+        if is_transition && let Some(strike_broadcaster) = &self.strike_broadcaster {
             strike_broadcaster.broadcast().await;
         }
     }
@@ -240,8 +233,9 @@
                 first_attempt,
                 suspicion,
             };
+            let leafs = view.leafs.clone();
             let mut driver = self.driver(coordinator, view, Query::new(plan));
-            self.drive(coordinator, &mut driver, disconnected.as_mut()).await;
+            self.drive(coordinator, &mut driver, &leafs, disconnected.as_mut()).await;
             let may_restart = lost_versions.len() < MAX_RESTARTS as usize;
             if may_restart && driver.query.should_restart(Instant::now()) {
                 tier.counters.restarts.increment();
@@ -295,6 +289,7 @@
             relayed: Some(search),
             request: None,
             crash_detector_fingerprint: None,
+            answered: AtomicBool::new(false),
             max_idle: ANY_IDLE_TIME,
             charge: Some(ChargeTo {
                 entry: self.entry.clone(),
@@ -311,33 +306,28 @@
         Driver::new(query, view.leafs.clone(), work_times, Box::new(budget), cx, rx)
     }
 
-    /// Runs the query on its pinned version to its end, and records each change of its suspicion
-    /// before the next step.
+    /// Runs the query on its pinned version to its end, and records each broken call and the end of
+    /// a suspicion before the next step.
     async fn drive<F: Future<Output = ()>>(
         &self,
         coordinator: &Coordinator,
         driver: &mut Driver<Vec<Hit>>,
+        leafs: &LeafTable,
         mut disconnected: Pin<&mut F>,
     ) {
-        let mut recorded = driver.query.suspicion();
+        let mut step = Step::Open;
+        let mut was_suspected = driver.query.suspicion() != Suspicion::Clear;
         driver.start();
-        while driver.step(disconnected.as_mut()).await == Step::Open {
-            recorded = self.record_suspicion(coordinator, driver.query.suspicion(), recorded).await;
-        }
-        self.record_suspicion(coordinator, driver.query.suspicion(), recorded).await;
-    }
-
-    /// Records the suspicion if it differs from the one recorded last; returns it.
-    async fn record_suspicion(
-        &self,
-        coordinator: &Coordinator,
-        suspicion: Suspicion,
-        recorded: Suspicion,
-    ) -> Suspicion {
-        if suspicion != recorded {
-            coordinator.record_suspicion(self.fingerprint, suspicion).await;
+        while step == Step::Open {
+            step = driver.step(disconnected.as_mut()).await;
+            let broken = driver.query.take_broken_calls();
+            coordinator.record_broken_calls(self.fingerprint, broken, leafs).await;
+            let is_suspected = driver.query.suspicion() != Suspicion::Clear;
+            if was_suspected && !is_suspected {
+                coordinator.tier.record_answered_request(self.fingerprint, Instant::now());
+            }
+            was_suspected = is_suspected;
         }
-        suspicion
     }
 
     fn no_index_answer(&self, id: QueryId) -> QueryAnswer {
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -78,6 +78,12 @@
     connect_failures,
     /// Ejections of leafs as outliers.
     ejections,
+    /// Leafs found lost while a request ran on them, counted for each such request.
+    leaf_crashes,
+    /// Requests that ran as a probe because they were suspected of crashing leafs.
+    probes,
+    /// Requests refused because they were suspected of crashing leafs.
+    refused_suspects,
     /// Reads and watches of the platform started.
     platform_reads,
     /// Reads and watches of the platform that failed.
--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -1,142 +1,107 @@
-//! Detects requests that crash leafs, as distinct from connections that break for other reasons.
+//! Attributes the loss of a leaf to the requests that were running on it.
 //!
-//! A broken connection alone is no sign of a crash, as connections break for many reasons. It
-//! counts as a strike, one crash attributed to the request, when the leaf refuses a connection
-//! shortly after. Three strikes block a request: it is refused for some time, on every host that
-//! receives the count.
+//! A call that breaks, or goes without an answer for long, is no sign of a crash, as connections
+//! break and leafs are slow for many reasons. It becomes evidence against its request once the leaf
+//! is found to be lost: it refuses connections or does not respond to them, or the platform no
+//! longer lists this incarnation of it. Both orders occur: a leaf may be found lost while the call
+//! still waits for an answer.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::events::Event;
+use crate::ids::LeafHash;
 use crate::ids::LeafKey;
-use crate::log_event;
+use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
 
-/// Time after a broken connection within which a refused one indicates a crash.
-const CRASH_WINDOW: Duration = Duration::from_secs(2);
-/// Number of strikes that block a request.
-const BLOCKING_STRIKES: u32 = 3;
-/// Time without a further strike after which a request's record expires.
-const STRIKE_LIFETIME: Duration = Duration::from_secs(120);
-/// Largest number of requests with strikes, and of broken connections, kept at the same time.
+/// Time after the end of an unanswered call within which the loss of its leaf is attributed to it.
+/// It covers the restart of a leaf, the publication of its new entry, and an entry that expires.
+const EVIDENCE_WINDOW: Duration = Duration::from_secs(10);
+/// Largest number of unanswered calls, and of lost leafs, that are remembered.
 const MAX_RECORDS: usize = 4_096;
 
-/// A crash of a leaf, attributed to the request that was in flight on its broken connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Strike {
-    /// Identifies the request.
-    pub fingerprint: Fingerprint,
-    /// Number of strikes of the request, with this one counted.
-    pub strikes: u32,
-    /// Whether the request is blocked, with this strike counted.
-    pub is_blocked: bool,
-}
-
-impl Strike {
-    /// Logs the strike. `source` says whether this host (`own`) or another one (`peer`) attributed
-    /// it to the request.
-    pub fn log(&self, source: &'static str) {
-        let event = if self.is_blocked { Event::RequestBlocked } else { Event::RequestSuspected };
-        let Self { fingerprint, strikes, .. } = self;
-        log_event!(warn, event, fingerprint = %fingerprint, strikes, source);
-    }
-}
-
-/// Number of strikes of one request, as sent to other hosts.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StrikeCount {
+/// A call that was written and has not been answered.
+#[derive(Clone, Copy, Debug)]
+pub struct UnansweredCall {
     /// Identifies the request.
     pub fingerprint: Fingerprint,
-    /// Strikes that the host counted itself, on top of the highest count reported to it.
-    pub strikes: u32,
-}
-
-/// A connection that broke while a request was in flight on it.
-#[derive(Clone, Copy, Debug)]
-struct Break {
-    leaf: LeafKey,
-    fingerprint: Fingerprint,
-    at: Instant,
+    /// The called leaf in this process's tables.
+    pub leaf: LeafKey,
+    /// The called leaf, as known to other hosts.
+    pub leaf_hash: LeafHash,
+    /// When the call was written.
+    pub started_at: Instant,
+    /// Whether the call was a probe of a suspected request.
+    pub was_probe: bool,
 }
 
-/// The strikes of one request, valid until `until`.
 #[derive(Clone, Copy, Debug)]
-struct Record {
-    strikes: u32,
+struct TrackedCall {
+    call: UnansweredCall,
     until: Instant,
 }
 
-/// Recently broken connections and the strikes of requests, as recorded by one process.
+/// Unanswered calls and lost leafs of the last seconds, as observed by one process.
 #[derive(Debug, Default)]
 pub struct CrashDetector {
-    breaks: Vec<Break>,
-    records: HashMap<Fingerprint, Record>,
+    calls: Vec<TrackedCall>,
+    lost: HashMap<LeafKey, Instant>,
 }
 
 impl CrashDetector {
-    /// Records that a connection to a leaf broke while a request was in flight on it.
-    pub fn record_break(&mut self, leaf: LeafKey, fingerprint: Fingerprint, now: Instant) {
-        self.breaks.retain(|b| now.saturating_duration_since(b.at) <= CRASH_WINDOW);
-        if self.breaks.len() < MAX_RECORDS {
-            self.breaks.push(Break { leaf, fingerprint, at: now });
+    /// Records a call that ended without an answer or has waited for one for long. Returns a crash
+    /// if its leaf was found lost after the call was written.
+    pub fn record_unanswered(&mut self, call: UnansweredCall, now: Instant) -> Option<Crash> {
+        self.expire(now);
+        if self.lost.get(&call.leaf).is_some_and(|&lost_at| lost_at >= call.started_at) {
+            self.calls.retain(|tracked| !is_same_run(&tracked.call, &call));
+            return Some(crash(&call));
         }
+        let until = now + EVIDENCE_WINDOW;
+        let tracked = TrackedCall { call, until };
+        let known = self.calls.iter().position(|known| is_same_run(&known.call, &call));
+        if let Some(known) = known.map(|index| &mut self.calls[index]) {
+            let was_probe = call.was_probe || known.call.was_probe;
+            *known = TrackedCall { call: UnansweredCall { was_probe, ..call }, ..tracked };
+        } else if self.calls.len() < MAX_RECORDS {
+            self.calls.push(tracked);
+        }
+        None
     }
 
-    /// Records that a leaf refused a connection. Returns one strike for each connection to the leaf
-    /// that broke shortly before.
-    pub fn record_refusal(&mut self, leaf: LeafKey, now: Instant) -> Vec<Strike> {
-        let is_recent = |b: &Break| now.saturating_duration_since(b.at) <= CRASH_WINDOW;
-        let (crashes, others): (Vec<_>, Vec<_>) =
-            self.breaks.drain(..).filter(is_recent).partition(|b| b.leaf == leaf);
-        self.breaks = others;
-        crashes.into_iter().map(|b| self.add_strike(b.fingerprint, now)).collect()
-    }
-
-    fn add_strike(&mut self, fingerprint: Fingerprint, now: Instant) -> Strike {
-        let strikes = self.strikes(fingerprint, now) + 1;
-        self.set_strikes(fingerprint, strikes, now);
-        Strike { fingerprint, strikes, is_blocked: strikes >= BLOCKING_STRIKES }
-    }
-
-    fn set_strikes(&mut self, fingerprint: Fingerprint, strikes: u32, now: Instant) {
-        if self.records.len() >= MAX_RECORDS {
-            self.records.retain(|_, record| record.until > now);
-        }
-        if self.records.len() < MAX_RECORDS || self.records.contains_key(&fingerprint) {
-            self.records.insert(fingerprint, Record { strikes, until: now + STRIKE_LIFETIME });
+    /// Records that an incarnation of a leaf was found lost. Returns the crash of each request with
+    /// an unanswered call to it; several calls of one request count once.
+    pub fn record_lost_leaf(&mut self, leaf: LeafKey, now: Instant) -> Vec<Crash> {
+        self.expire(now);
+        if self.lost.len() < MAX_RECORDS {
+            self.lost.insert(leaf, now);
         }
+        let is_lost = |tracked: &TrackedCall| tracked.call.leaf == leaf;
+        let (lost, others) = self.calls.drain(..).partition(is_lost);
+        self.calls = others;
+        let lost: Vec<TrackedCall> = lost;
+        lost.iter().map(|tracked| crash(&tracked.call)).collect()
     }
 
-    fn strikes(&self, fingerprint: Fingerprint, now: Instant) -> u32 {
-        self.records.get(&fingerprint).filter(|r| r.until > now).map_or(0, |r| r.strikes)
+    /// Records that a leaf ran the request and answered, which clears its unanswered calls.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint) {
+        self.calls.retain(|tracked| tracked.call.fingerprint != fingerprint);
     }
 
-    /// Returns whether a request has enough strikes to be refused.
-    pub fn is_blocked(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.strikes(fingerprint, now) >= BLOCKING_STRIKES
+    fn expire(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_WINDOW;
+        self.calls.retain(|tracked| now < tracked.until);
+        self.lost.retain(|_, lost_at| is_recent(*lost_at));
     }
+}
 
-    /// Merges another host's count: the higher one applies. Hosts that detect further crashes add
-    /// them to the highest count reported to them, so that three crashes anywhere block a request.
-    /// Returns the state of the request if the count was higher than this host's.
-    pub fn merge(&mut self, reported: StrikeCount, now: Instant) -> Option<Strike> {
-        let StrikeCount { fingerprint, strikes } = reported;
-        if strikes <= self.strikes(fingerprint, now) {
-            return None;
-        }
-        self.set_strikes(fingerprint, strikes, now);
-        Some(Strike { fingerprint, strikes, is_blocked: strikes >= BLOCKING_STRIKES })
-    }
+/// Returns whether two calls of one request ran on the same leaf.
+fn is_same_run(a: &UnansweredCall, b: &UnansweredCall) -> bool {
+    (a.fingerprint, a.leaf) == (b.fingerprint, b.leaf)
+}
 
-    /// Returns the live counts, to be sent to other hosts.
-    pub fn counts(&self, now: Instant) -> Vec<StrikeCount> {
-        let live = self.records.iter().filter(|(_, record)| record.until > now);
-        live.map(|(&fingerprint, record)| StrikeCount { fingerprint, strikes: record.strikes })
-            .collect()
-    }
+fn crash(call: &UnansweredCall) -> Crash {
+    let UnansweredCall { fingerprint, leaf_hash, was_probe, .. } = *call;
+    Crash { fingerprint, leaf: leaf_hash, was_probe }
 }
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -22,13 +22,13 @@
 use crate::call_report_link::CallReportLink;
 use crate::cluster_state::ClusterState;
 use crate::counters::CounterValues;
-use crate::crash_detector::StrikeCount;
 use crate::edge::Edge;
 use crate::fleet::HostRecord;
 use crate::fleet_link::CHANGES_PATH;
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::metrics::Metrics;
+use crate::quarantine::SuspectReport;
 use crate::socket;
 use crate::tier::Tier;
 
@@ -68,7 +68,7 @@
     in_progress: usize,
     hosts: Vec<HostRecord>,
     leafs: Vec<LeafState>,
-    suspects: Vec<StrikeCount>,
+    suspects: Vec<SuspectReport>,
     counters: CounterValues,
 }
 
@@ -156,7 +156,7 @@
             in_progress: self.edge.in_progress(),
             hosts: self.cluster_state.fleet.lock().unwrap().members().cloned().collect(),
             leafs: leafs.collect(),
-            suspects: self.tier.crash_detector.lock().unwrap().counts(now),
+            suspects: self.tier.quarantine.lock().unwrap().reports(now),
             counters: self.tier.counters.values(),
         }
     }
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -38,6 +38,7 @@
 use crate::pause_detector::PauseDetector;
 use crate::platform_store::Decoder;
 use crate::platform_store::PlatformStore;
+use crate::quarantine::Quarantine;
 use crate::relay_link::RelayLinks;
 use crate::signature::KeyRing;
 use crate::subscriber::Subscriber;
@@ -56,6 +57,9 @@
 /// Interval at which the process checks whether it was paused.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of leafs that a request must have crashed to be blocked.
+const BLOCKING_CRASHES: usize = 3;
+
 /// Checked settings of a process that serves opaque requests.
 #[derive(Clone, Debug)]
 pub struct EdgeSettings {
@@ -240,7 +244,8 @@
     let backend = Box::new(HttpLeafBackend { local: Some(settings.callers.ip()) });
     // Calls go to leafs directly, so that no relays are needed.
     let relays = RelayLinks::new(HttpClient::default(), KeyRing::new(Vec::new()));
-    let tier = Tier::new(identity, backend, Arc::new(relays));
+    let mut tier = Tier::new(identity, backend, Arc::new(relays));
+    tier.quarantine = Mutex::new(Quarantine::new(BLOCKING_CRASHES));
     let regions = settings
         .regions
         .iter()
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -65,9 +65,11 @@
     HistoryLost = 211,
     /// A leaf failed several times in a row and gets no calls for a while.
     LeafEjected = 300,
-    /// A request broke a leaf's connection and is suspected of crashing leafs.
+    /// A leaf was lost while a request ran on it; the request is suspected of crashing leafs and
+    /// runs as a probe, a single call, until it is answered.
     RequestSuspected = 301,
-    /// A suspected request broke a leaf's connection again and is refused for a while.
+    /// A suspected request has crashed enough leafs, a probe's among them, and is refused for a
+    /// while.
     RequestBlocked = 302,
     /// Another leaf answers at a leaf's address; the leaf gets no calls for a while or until its
     /// address changes.
@@ -84,6 +86,11 @@
     LeafExpired = 307,
     /// The entry of a leaf is invalid and was ignored; the entries of other leafs are in force.
     LeafEntryUnusable = 308,
+    /// A leaf was found lost after a call to it that was not answered; the field `crashes` counts
+    /// the leafs lost under this request.
+    LeafCrashed = 309,
+    /// A suspected or blocked request was answered by a leaf and runs like any other again.
+    RequestCleared = 310,
     /// A peer was discovered for the first time or after a restart.
     PeerJoined = 400,
     /// A peer is shutting down.
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -129,11 +129,9 @@
         }
     }
 
-    /// Returns the suspected and blocked requests to report, those with the longest remaining time
-    /// first.
+    /// Returns the suspected and blocked requests to report, the last changed ones first.
     fn suspect_reports(&self, now: Instant) -> Vec<SuspectReport> {
         let mut reports = self.tier.quarantine.lock().unwrap().reports(now);
-        reports.sort_by_key(|report| std::cmp::Reverse(report.remaining_ms));
         reports.truncate(MAX_STRIKES);
         reports
     }
@@ -169,11 +167,8 @@
             let age = Duration::from_millis(age_ms);
             self.peers.contact.lock().unwrap().record_peer_answer(age, now);
         }
-        let mut quarantine = self.tier.quarantine.lock().unwrap();
-        for strike in status.strikes.iter().take(MAX_STRIKES) {
-            quarantine.merge(*strike, now);
-        }
-        drop(quarantine);
+        let strikes = &status.strikes[..status.strikes.len().min(MAX_STRIKES)];
+        self.tier.merge_suspects(strikes, now);
         let view = self.tier.view();
         for drain in status.drains.iter().take(MAX_DRAINS) {
             let key = view.hosts.leaf_key(&drain.leaf);
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -21,7 +21,6 @@
 
 use crate::change_log::ChangeSet;
 use crate::cluster_state::ClusterState;
-use crate::crash_detector::StrikeCount;
 use crate::error_text::with_sources;
 use crate::events::Event;
 use crate::fleet::AgedRecord;
@@ -30,6 +29,7 @@
 use crate::http_client::HttpClientError;
 use crate::ids::Revision;
 use crate::log_event;
+use crate::quarantine::SuspectReport;
 use crate::subscription::ChangeSource;
 use crate::tier::Tier;
 
@@ -48,6 +48,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest wait of a long poll for changes that another host reads from the platform.
 const READER_WAIT: Duration = Duration::from_millis(1_200);
+/// Largest number of suspected requests in one message.
+const MAX_SUSPECTS: usize = 256;
 /// Time without an answer of the platform after which a host requests published changes from other
 /// hosts.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(700);
@@ -57,8 +59,8 @@
 pub struct ExchangeMessage {
     /// The sender's own record first, then records of other hosts.
     pub cards: Vec<AgedRecord>,
-    /// Strikes of each suspected request. A strike is a leaf crash that is attributed to it.
-    pub strikes: Vec<StrikeCount>,
+    /// Records of suspected and blocked requests, the last changed ones first.
+    pub suspects: Vec<SuspectReport>,
     /// Revision up to which the sender has applied the platform's changes.
     pub position: Revision,
 }
@@ -220,18 +222,14 @@
             fleet.set_platform_unreachable(unreachable);
             fleet.records_to_send(now)
         };
-        let strikes = self.tier.crash_detector.lock().unwrap().counts(now);
-        ExchangeMessage { cards, strikes, position: self.cluster_state.position() }
+        let mut suspects = self.tier.quarantine.lock().unwrap().reports(now);
+        suspects.truncate(MAX_SUSPECTS);
+        ExchangeMessage { cards, suspects, position: self.cluster_state.position() }
     }
 
     fn apply_message(&self, message: ExchangeMessage) {
         let now = Instant::now();
-        for count in message.strikes {
-            let merged = self.tier.crash_detector.lock().unwrap().merge(count, now);
-            if let Some(strike) = merged {
-                strike.log("peer");
-            }
-        }
+        self.tier.merge_suspects(&message.suspects, now);
         let changes = self.cluster_state.fleet.lock().unwrap().merge_records(message.cards, now);
         for host in &changes.joined {
             log_event!(info, Event::PeerJoined, host = host.as_str());
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -12,6 +12,7 @@
 use crate::leaf::Leaf;
 use crate::pool::Acquired;
 use crate::tier::CONNECT_TIMEOUT;
+use crate::tier::LossCause;
 use crate::tier::Tier;
 
 /// Opens a connection within `limit`, after the pool has reserved a slot for it. Releases the slot
@@ -35,7 +36,7 @@
         Err(e) => {
             tier.counters.connect_failures.increment();
             if e.is_refused() {
-                tier.strike_recent_requests(leaf.key, Instant::now());
+                tier.record_lost_leaf(leaf.key, LossCause::Refused, Instant::now());
             }
             Err(e)
         }
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -40,6 +41,7 @@
 use crate::opaque_view::ViewCell;
 use crate::plan::QueryPlan;
 use crate::plan::Suspicion;
+use crate::quarantine::Decision;
 use crate::quarantine::Fingerprint;
 use crate::query::Query;
 use crate::query_outcome::Outcome;
@@ -75,6 +77,14 @@
     picker: WeightedRoundRobin,
 }
 
+/// A request that may be sent to leafs.
+struct Admitted {
+    entry: Arc<OpaqueEntry>,
+    deadline: Instant,
+    /// Whether the request is suspected of crashing leafs and runs as a probe first.
+    suspicion: Suspicion,
+}
+
 impl OpaqueCoordinator {
     /// Creates a coordinator. `views` holds the configuration and leafs in force, `codecs` creates
     /// the codec of each request, and `budget` limits this host's part of the fleet's extra calls.
@@ -101,7 +111,7 @@
         let req = Arc::new(req);
         let fingerprint = req.fingerprint();
         match self.admit(&req, fingerprint, &view, arrived_at) {
-            Ok(entry) => self.run_query(req, fingerprint, view, entry, arrived_at).await,
+            Ok(admitted) => self.run_query(req, fingerprint, view, admitted, arrived_at).await,
             Err(local) => {
                 self.tier.counters.count_outcome(OutcomeKind::NotRun);
                 log_event!(
@@ -117,15 +127,15 @@
         }
     }
 
-    /// Returns the entry of the request, or the local answer if there is no configuration or entry,
-    /// or if the request is blocked.
+    /// Admits the request, or returns the local answer if there is no configuration or entry, or if
+    /// the request is blocked or its probe runs.
     fn admit(
         &self,
         req: &OpaqueRequest,
         fingerprint: Fingerprint,
         view: &OpaqueView,
         now: Instant,
-    ) -> Result<Arc<OpaqueEntry>, LocalAnswer> {
+    ) -> Result<Admitted, LocalAnswer> {
         let Some(catalogue) = &view.catalogue else {
             let wait = with_jitter(retry_after::unconfigured_retry(self.views.uptime(now)));
             return Err(LocalAnswer::refused(wait, "No configuration is known yet"));
@@ -135,11 +145,23 @@
             let message = format!("No entry for host \"{}\" and path \"{path}\"", req.host);
             return Err(LocalAnswer::new(StatusCode::NOT_FOUND, message));
         };
-        if self.tier.crash_detector.lock().unwrap().is_blocked(fingerprint, now) {
-            let message = "The request has crashed several leafs";
-            return Err(LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), message));
-        }
-        Ok(entry.clone())
+        let timeout = req.caller_timeout;
+        let deadline =
+            now + timeout.map_or(entry.entry.deadline, |timeout| timeout.min(entry.entry.deadline));
+        let decision = self.tier.quarantine.lock().unwrap().decide(fingerprint, now);
+        let suspicion = match decision {
+            Decision::Run => Suspicion::Clear,
+            Decision::Probe => {
+                self.tier.counters.probes.increment();
+                Suspicion::Suspected
+            }
+            Decision::Refuse(wait) => {
+                self.tier.counters.refused_suspects.increment();
+                let message = "The request is suspected of having crashed several leafs";
+                return Err(LocalAnswer::refused(with_jitter(wait), message));
+            }
+        };
+        Ok(Admitted { entry: entry.clone(), deadline, suspicion })
     }
 
     async fn run_query(
@@ -147,12 +169,11 @@
         req: Arc<OpaqueRequest>,
         fingerprint: Fingerprint,
         view: Arc<OpaqueView>,
-        opaque_entry: Arc<OpaqueEntry>,
+        admitted: Admitted,
         arrived_at: Instant,
     ) -> OpaqueAnswer {
+        let Admitted { entry: opaque_entry, deadline, suspicion } = admitted;
         let entry = &opaque_entry.entry;
-        let deadline = arrived_at
-            + req.caller_timeout.map_or(entry.deadline, |timeout| timeout.min(entry.deadline));
         let snapshot = self.pin(&opaque_entry, &view);
         let plan = QueryPlan {
             id: self.tier.next_query_id(),
@@ -162,7 +183,7 @@
             deadline,
             target_at: entry.goal.map(|goal| latest_send_time(goal, arrived_at)),
             first_attempt: Attempt(0),
-            suspicion: Suspicion::Clear,
+            suspicion,
         };
         let mut driver = self.new_driver(&req, fingerprint, &view, entry, plan);
         // This future never completes: a caller that disconnects drops the future of `answer`.
@@ -170,6 +191,9 @@
         driver.start();
         while driver.step(disconnected.as_mut()).await == Step::Open {}
         let outcome = driver.query.take_outcome();
+        if suspicion == Suspicion::Suspected && outcome.kind == OutcomeKind::NotRun {
+            self.tier.quarantine.lock().unwrap().release_probe(fingerprint);
+        }
         self.finish_answer(&req, &view, &opaque_entry, outcome, arrived_at)
     }
 
@@ -235,6 +259,7 @@
             relayed: None,
             request: Some(req.id.to_str().unwrap_or_default().into()),
             crash_detector_fingerprint: Some(fingerprint),
+            answered: AtomicBool::new(false),
             max_idle: max_idle(entry.idempotent),
             charge: None,
             latency,
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -89,6 +89,8 @@
     pub purpose: Purpose,
     /// The cost by which the leaf was chosen; for the log.
     pub cost: Duration,
+    /// Whether the request is suspected of crashing leafs and this is its only call.
+    pub is_probe: bool,
 }
 
 /// Calls that the owner of the state machine has to make and cancel next.
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -60,6 +60,15 @@
     pub(crate) state: CallState,
 }
 
+/// A call whose connection broke before a reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BrokenCall {
+    /// The called leaf.
+    pub leaf: LeafKey,
+    /// Whether the call was the probe of a suspected request.
+    pub was_probe: bool,
+}
+
 /// Progress of one shard of the query.
 #[derive(Debug, Default)]
 pub(crate) struct ShardState {
@@ -101,6 +110,8 @@
     pub(crate) suspicion: Suspicion,
     /// The call that serves as the probe while the request is suspected.
     pub(crate) probe: Option<Attempt>,
+    /// Calls whose connection broke and that were not reported by [`Query::take_broken_calls`] yet.
+    pub(crate) broken_calls: Vec<BrokenCall>,
     /// Number of replies that were dropped because they matched no open call.
     pub(crate) unmatched_replies: u32,
     /// How far the expected answer time exceeded what the deadline allows; set when the query is
@@ -128,6 +139,7 @@
             version_lost: false,
             suspicion,
             probe: None,
+            broken_calls: Vec::new(),
             unmatched_replies: 0,
             excess_wait: None,
             end_reason: None,
@@ -309,6 +321,11 @@
         self.suspicion
     }
 
+    /// Returns the calls whose connection broke since this method was last called.
+    pub fn take_broken_calls(&mut self) -> Vec<BrokenCall> {
+        std::mem::take(&mut self.broken_calls)
+    }
+
     /// Returns the number of replies that were dropped because they matched no open call.
     pub fn unmatched_replies(&self) -> u32 {
         self.unmatched_replies
@@ -362,7 +379,9 @@
         state.live += 1;
         state.tried.push(leaf);
         self.live += 1;
-        out.sends.push(SendCall { call: self.call_id(attempt, shard), leaf, purpose, cost });
+        let is_probe = self.suspicion == Suspicion::Suspected;
+        let call = self.call_id(attempt, shard);
+        out.sends.push(SendCall { call, leaf, purpose, cost, is_probe });
         attempt
     }
 
--- a/lib/src/query_retry.rs
+++ b/lib/src/query_retry.rs
@@ -10,6 +10,7 @@
 use crate::plan::Purpose;
 use crate::plan::RetryCause;
 use crate::plan::Suspicion;
+use crate::query::BrokenCall;
 use crate::query::CallRecord;
 use crate::query::Query;
 
@@ -48,6 +49,9 @@
         out: &mut Actions,
     ) {
         let was_probe = self.probe == Some(attempt);
+        if let Some(CallRecord { leaf, .. }) = self.call_record(attempt).copied() {
+            self.broken_calls.push(BrokenCall { leaf, was_probe });
+        }
         if was_probe {
             self.probe = None;
             self.suspicion = Suspicion::Blocked;
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -121,7 +122,7 @@
             self.relayed.controls.lock().unwrap().insert(id, control.clone());
             batch.calls.push(id);
             let (purpose, cost) = (Purpose::First, Duration::ZERO);
-            let send = SendCall { call: id, leaf: leaf.key, purpose, cost };
+            let send = SendCall { call: id, leaf: leaf.key, purpose, cost, is_probe: false };
             tokio::spawn(Call { cx: cx.clone(), leaf, send, control }.run());
         }
     }
@@ -155,6 +156,7 @@
             charge: None,
             latency: self.tier.latency_tracker(&query.index, now),
             deadline: now + Duration::from_millis(query.remaining_ms),
+            answered: AtomicBool::new(false),
             events,
         }))
     }
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -26,9 +26,11 @@
 use crate::catalogue::Entry;
 use crate::counters::Counters;
 use crate::crash_detector::CrashDetector;
+use crate::crash_detector::UnansweredCall;
 use crate::documents::Document;
 use crate::documents::Result;
 use crate::documents::View;
+use crate::events::Event;
 use crate::hosts::LeafRegistry;
 use crate::ids::EntryName;
 use crate::ids::HostName;
@@ -44,11 +46,34 @@
 use crate::ledger::Ledger;
 use crate::limits::EntryLimits;
 use crate::limits::HostShare;
+use crate::log_event;
+use crate::plan::Suspicion;
+use crate::quarantine::Change;
+use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
 use crate::quarantine::Quarantine;
+use crate::quarantine::SuspectReport;
 use crate::relay_link::RelayLinks;
 use crate::zone_rtt::ZoneRtts;
 
+/// How a leaf was found to be lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LossCause {
+    /// It refused a connection.
+    Refused,
+    /// It broke the call's connection, where that alone counts.
+    Broken,
+    /// One of these causes, before its unanswered call ended.
+    FoundBefore,
+}
+
+/// Which host detected a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SuspectSource {
+    Own,
+    Peer,
+}
+
 /// Identifies this process: its host and its incarnation.
 #[derive(Clone, Debug, Serialize)]
 pub struct Identity {
@@ -89,13 +114,13 @@
     pub identity: Identity,
     /// Counters that are exported as metrics and in the state dump.
     pub counters: Counters,
-    /// Fingerprints of requests that are suspected of crashing leafs.
+    /// Requests that are suspected of crashing leafs.
     pub quarantine: Mutex<Quarantine>,
     /// Effort of ended calls by owner and entry.
     pub ledger: Mutex<Ledger>,
     /// Measured round-trip times to the zones.
     pub zone_rtts: Mutex<ZoneRtts>,
-    /// Recently broken connections to leafs, which may turn out to be crashes.
+    /// Unanswered calls, which may turn out to have crashed their leafs.
     pub crash_detector: Mutex<CrashDetector>,
     /// Reports of this host's leaf calls that are not yet sent to the zone's other hosts. Set only
     /// where hosts share such reports.
@@ -163,17 +188,70 @@
         }
     }
 
-    /// Records that the connection to `leaf` broke while a request ran on it. This alone does not
-    /// show that the leaf crashed.
-    pub fn track_broken_connection(&self, leaf: LeafKey, fingerprint: Fingerprint, now: Instant) {
-        self.crash_detector.lock().unwrap().record_break(leaf, fingerprint, now);
+    /// Records a call that was not answered, which becomes evidence against its request if the leaf
+    /// is found lost.
+    pub fn track_unanswered_call(&self, call: UnansweredCall, now: Instant) {
+        let crash = self.crash_detector.lock().unwrap().record_unanswered(call, now);
+        if let Some(crash) = crash {
+            self.record_crash(crash, LossCause::FoundBefore, now);
+        }
+    }
+
+    /// Records that an incarnation of a leaf was found lost, and suspects the requests that ran on
+    /// it.
+    pub fn record_lost_leaf(&self, leaf: LeafKey, cause: LossCause, now: Instant) {
+        let crashes = self.crash_detector.lock().unwrap().record_lost_leaf(leaf, now);
+        crashes.into_iter().for_each(|crash| _ = self.record_crash(crash, cause, now));
+    }
+
+    /// Records a crash and logs it unless it was known. Returns whether it makes its request
+    /// suspected or blocked.
+    pub fn record_crash(&self, crash: Crash, cause: LossCause, now: Instant) -> bool {
+        let change = self.quarantine.lock().unwrap().record_crash(crash, now);
+        let Some(change) = change else { return false };
+        self.counters.leaf_crashes.increment();
+        log_event!(
+            info,
+            Event::LeafCrashed,
+            fingerprint = %crash.fingerprint,
+            leaf_hash = %format_args!("{:016x}", crash.leaf.0),
+            probe = crash.was_probe,
+            cause = ?cause,
+            crashes = change.crashes
+        );
+        self.log_change(change, SuspectSource::Own);
+        change.is_transition
     }
 
-    /// Adds a strike to each request whose connection to `leaf` broke shortly before the leaf
-    /// refused a new connection, since together the two show a crash. Logs each strike.
-    pub fn strike_recent_requests(&self, leaf: LeafKey, now: Instant) {
-        let strikes = self.crash_detector.lock().unwrap().record_refusal(leaf, now);
-        strikes.into_iter().for_each(|strike| strike.log("own"));
+    /// Records that a leaf ran a request and answered, which clears the request of all suspicion.
+    pub fn record_answered_request(&self, fingerprint: Fingerprint, now: Instant) {
+        self.crash_detector.lock().unwrap().record_answer(fingerprint);
+        if self.quarantine.lock().unwrap().record_answer(fingerprint, now) {
+            log_event!(info, Event::RequestCleared, fingerprint = %fingerprint);
+        }
+    }
+
+    /// Merges the suspected requests that another host reports.
+    pub fn merge_suspects(&self, reports: &[SuspectReport], now: Instant) {
+        for report in reports {
+            let change = self.quarantine.lock().unwrap().merge(report, now);
+            if let Some(change) = change {
+                self.log_change(change, SuspectSource::Peer);
+            }
+        }
+    }
+
+    /// Logs a change of a request's state.
+    fn log_change(&self, change: Change, source: SuspectSource) {
+        let Change { fingerprint, suspicion, is_transition, crashes } = change;
+        let event = match suspicion {
+            Suspicion::Blocked => Event::RequestBlocked,
+            Suspicion::Suspected => Event::RequestSuspected,
+            Suspicion::Clear => Event::RequestCleared,
+        };
+        if is_transition {
+            log_event!(warn, event, fingerprint = %fingerprint, crashes, source = ?source);
+        }
     }
 
     /// Returns a query id that this process has not used before. The incarnation makes it differ
--- a/lib/tests/test_fleet_hosts.rs
+++ b/lib/tests/test_fleet_hosts.rs
@@ -1,19 +1,14 @@
-//! Tests of gossip membership, which starts from seeds, and of the strikes that hosts exchange
-//! against requests that crash leafs.
+//! Tests of gossip membership, which starts from seeds.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use jasmineusher_lib::crash_detector::CrashDetector;
-use jasmineusher_lib::crash_detector::StrikeCount;
 use jasmineusher_lib::fleet::AgedRecord;
 use jasmineusher_lib::fleet::AggregatorHost;
 use jasmineusher_lib::fleet::Fleet;
 use jasmineusher_lib::fleet::HostRecord;
 use jasmineusher_lib::ids::Incarnation;
-use jasmineusher_lib::ids::LeafKey;
-use jasmineusher_lib::quarantine::Fingerprint;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -217,70 +212,3 @@
     fleet.merge_records(vec![AgedRecord { card: record(4, 1), age: 2 * SECOND }], now);
     assert_eq!(fleet.members().next().map(|record| record.incarnation), Some(Incarnation(2)));
 }
-
-/// Connections break for many reasons. Only if the leaf refuses a new connection shortly after does
-/// the break count as a crash caused by the request.
-#[test]
-fn broken_connections_alone_block_no_request() {
-    let now = Instant::now();
-    let mut crashes = CrashDetector::default();
-    let request = Fingerprint(1);
-    (0..20).for_each(|leaf| crashes.record_break(LeafKey(leaf), request, now));
-    assert!(!crashes.is_blocked(request, now));
-    assert_eq!(crashes.record_refusal(LeafKey(99), now), []);
-}
-
-/// Three hosts each attribute one crash to the request before they hear of each other. If a merge
-/// kept only the greatest count, the request would go on running on every host.
-#[test]
-fn crashes_counted_by_three_hosts_at_once_add_up_to_three() {
-    let now = Instant::now();
-    let request = Fingerprint(1);
-    let mut hosts: [CrashDetector; 3] = Default::default();
-    for (host, leaf) in hosts.iter_mut().zip(0..) {
-        host.record_break(LeafKey(leaf), request, now);
-        host.record_refusal(LeafKey(leaf), now);
-    }
-    for _ in 0..3 {
-        for from in 0..3 {
-            let counts = hosts[from].counts(now);
-            for host in &mut hosts {
-                counts.iter().for_each(|&count| _ = host.merge(count, now));
-            }
-        }
-    }
-    assert!(hosts.iter().all(|host| host.is_blocked(request, now)), "{hosts:?}");
-}
-
-/// Several calls of one request run on a leaf when it is lost. That is one crash, and it may have
-/// another cause.
-#[test]
-fn one_lost_leaf_with_three_calls_of_a_request_does_not_block_it() {
-    let now = Instant::now();
-    let mut crashes = CrashDetector::default();
-    let request = Fingerprint(1);
-    (0..3).for_each(|_| crashes.record_break(LeafKey(4), request, now));
-    crashes.record_refusal(LeafKey(4), now);
-    assert!(!crashes.is_blocked(request, now));
-}
-
-/// If hosts did not merge each other's strikes, a poison request that is resent through all hosts
-/// could crash several leafs on each of them.
-#[test]
-fn third_crash_blocks_a_request_on_every_host_that_merges_the_strikes() {
-    let now = Instant::now();
-    let (mut one, mut other) = (CrashDetector::default(), CrashDetector::default());
-    let request = Fingerprint(1);
-    for leaf in 0..2 {
-        one.record_break(LeafKey(leaf), request, now);
-        let strikes = one.record_refusal(LeafKey(leaf), now + SECOND);
-        assert!(strikes.iter().all(|strike| !strike.is_blocked));
-    }
-    one.counts(now).into_iter().for_each(|count| _ = other.merge(count, now));
-    other.record_break(LeafKey(7), request, now);
-    assert!(other.record_refusal(LeafKey(7), now).iter().all(|strike| strike.is_blocked));
-    assert!(other.is_blocked(request, now));
-    one.merge(StrikeCount { fingerprint: request, strikes: 3 }, now);
-    assert!(one.is_blocked(request, now));
-    assert!(!one.is_blocked(request, now + 121 * SECOND));
-}
--- a/lib/tests/test_tables.rs
+++ b/lib/tests/test_tables.rs
@@ -26,10 +26,7 @@
 use jasmineusher_lib::lifecycle::Lifecycle;
 use jasmineusher_lib::lifecycle::Phase;
 use jasmineusher_lib::plan::Purpose;
-use jasmineusher_lib::quarantine::Decision;
 use jasmineusher_lib::quarantine::Fingerprint;
-use jasmineusher_lib::quarantine::Quarantine;
-use jasmineusher_lib::quarantine::SuspectReport;
 use jasmineusher_lib::settings::PeerKey;
 use jasmineusher_lib::settings::RawSettings;
 use jasmineusher_lib::settings::Settings;
@@ -178,37 +175,6 @@
     assert_eq!(ledger.lines()[0].account.reported_us, u64::MAX);
 }
 
-/// Guards against a poison request that crashes several leafs at once because it runs several times
-/// while it is suspected, and against a weaker report that lifts a block.
-#[test]
-fn suspected_request_gets_one_probe_at_a_time_and_a_blocked_one_none() {
-    let now = Instant::now();
-    let request = Fingerprint(1);
-    let mut quarantine = Quarantine::default();
-    assert_eq!(quarantine.decide(request, now, now), Decision::Run);
-    assert!(quarantine.suspect(request, now));
-    assert!(!quarantine.suspect(request, now), "the request is already suspected");
-    let due = now + SECOND;
-    assert_eq!(quarantine.decide(request, due, now), Decision::Probe);
-    assert_eq!(quarantine.decide(request, due, now), Decision::Refuse(SECOND));
-    quarantine.clear(request);
-    assert_eq!(quarantine.decide(request, due, now), Decision::Run);
-    quarantine.suspect(request, now);
-    quarantine.block(request, now);
-    assert!(matches!(quarantine.decide(request, due, now), Decision::Refuse(_)));
-    let suspicion_only = SuspectReport { fingerprint: request, condemned: false, remaining_ms: 1 };
-    quarantine.merge(suspicion_only, now);
-    assert!(
-        quarantine.reports(now)[0].condemned,
-        "a report of a mere suspicion does not lift the block"
-    );
-    assert_eq!(
-        quarantine.decide(request, due, now + 130 * SECOND),
-        Decision::Run,
-        "the block expires"
-    );
-}
-
 fn not_run() -> QueryAnswer {
     Refusal::new(Reason::RateLimit, "", None).into()
 }
