crash_detector: find leafs that were lost without a refused connection

Cause: the only evidence of a crash was a broken connection followed, within 2 s and on the same host, by a refused one. A call that ends in silence was no evidence, a host that did not connect to the leaf again saw no refusal, and a leaf that was back sooner, or refused later than 2 s, was never found lost.

Now each call without an answer is remembered for 10 s, also while it still waits (from 0.5 s on). Its leaf is connected to, twice and a few at a time, unless the connection was new, when the leaf may have none left. The leaf is found lost when it refuses a connection, does not respond to one, or is no longer listed under this incarnation, which all hosts learn from the platform. A probe first connects to its leaf, so that a leaf which was lost before does not count against it.

Ruled out: evidence by silence alone, which would suspect requests on slow leafs; asking for a leaf's health, which is dear and can be false.

New tests of the table: leafs_of_unanswered_calls_are_checked_twice_and_a_few_at_a_time.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -21,10 +21,12 @@
 use crate::call_context::CallEvent;
 use crate::call_context::ChargeTo;
 use crate::call_reports::CallOutcome;
+use crate::crash_detector::LeafCheck;
 use crate::crash_detector::UnansweredCall;
 use crate::error_text::with_sources;
 use crate::events::Event;
 use crate::held_connection::HeldConnection;
+use crate::held_connection::check_leaf;
 use crate::held_connection::open_connection;
 use crate::leaf::Leaf;
 use crate::leaf_codec::OutgoingCall;
@@ -47,6 +49,10 @@
 /// timeout of the request that cancels it.
 const CANCEL_GRACE: Duration = Duration::from_millis(300);
 
+/// Time without an answer after which a call is recorded as unanswered while it still waits for
+/// one.
+const SILENCE_TIME: Duration = Duration::from_millis(500);
+
 /// One call to a leaf, executed by [`Call::run`].
 pub struct Call<P> {
     /// The context shared by the query's calls.
@@ -141,6 +147,13 @@
 
     async fn acquire_connection(&self) -> Result<Box<dyn LeafConnection>, CallResult<P>> {
         let not_sent = || CallResult::Lost(CallLoss::NotSent, Effort::None);
+        if self.is_crash_probe() {
+            // A leaf that was lost before the probe must not count as crashed by it.
+            check_leaf(&self.cx.tier, &self.leaf).await.map_err(|e| {
+                self.record_lost_call(&e, Duration::ZERO);
+                not_sent()
+            })?;
+        }
         match self.leaf.pool.acquire(self.cx.max_idle, Instant::now()) {
             Acquired::Idle(conn) => Ok(conn),
             Acquired::Full => Err(not_sent()),
@@ -151,6 +164,11 @@
         }
     }
 
+    /// Returns whether this is the probe of a request whose crashes the crash detector finds.
+    fn is_crash_probe(&self) -> bool {
+        self.send.is_probe && self.cx.crash_detector_fingerprint.is_some()
+    }
+
     async fn open_connection(&self) -> Result<Box<dyn LeafConnection>, BackendError> {
         let remaining = self.cx.deadline.saturating_duration_since(Instant::now());
         open_connection(&self.cx.tier, &self.leaf, remaining.min(CONNECT_TIMEOUT)).await
@@ -179,7 +197,7 @@
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
         self.leaf.state().estimates.record_call_start(self.send.call, started);
         let outgoing = self.outgoing(started);
-        let result = self.exchange_or_cancel(held.conn(), &outgoing).await;
+        let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
         let now = Instant::now();
         self.leaf.state().estimates.record_call_end(self.send.call);
         let elapsed = now.saturating_duration_since(started);
@@ -213,7 +231,9 @@
                     Some(_) => CallLoss::Garbled,
                 };
                 if loss != CallLoss::NotSent {
-                    self.track_unanswered(started, now);
+                    let may_check = !e.shows_connection_overflow();
+                    let check = if may_check { LeafCheck::Connect } else { LeafCheck::None };
+                    self.track_unanswered(started, check, now);
                 }
                 let effort = match loss {
                     CallLoss::NotSent => Effort::None,
@@ -223,6 +243,7 @@
                 (CallResult::Lost(loss, effort), CallEnd::Other)
             }
             None => {
+                self.track_unanswered(started, LeafCheck::Connect, now);
                 self.record_unanswered_call(elapsed, now);
                 self.leaf.state().estimates.record_loss(now);
                 self.report_outcome(CallOutcome::Failed);
@@ -247,7 +268,7 @@
     }
 
     /// Records this call as unanswered, unless another leaf has answered the request.
-    fn track_unanswered(&self, started_at: Instant, now: Instant) {
+    fn track_unanswered(&self, started_at: Instant, check: LeafCheck, now: Instant) {
         let Some(fingerprint) = self.cx.crash_detector_fingerprint else { return };
         if self.cx.answered.load(Ordering::Relaxed) {
             return;
@@ -259,7 +280,7 @@
             started_at,
             was_probe: self.send.is_probe,
         };
-        self.cx.tier.track_unanswered_call(call, now);
+        self.cx.tier.track_unanswered_call(call, check, now);
     }
 
     /// Sends the request and returns its response, or nothing if the call was cancelled and no
@@ -268,12 +289,22 @@
         &self,
         conn: &mut Box<dyn LeafConnection>,
         outgoing: &OutgoingCall<'_>,
+        started: Instant,
     ) -> Option<Result<Response<Bytes>, BackendError>> {
         let mut exchange = conn.exchange(self.cx.codec.encode_request(outgoing));
+        let mut cancelled = pin!(self.control.cancelled());
         tokio::select! {
             biased;
             result = &mut exchange => return Some(result),
-            () = self.control.cancelled() => {}
+            () = &mut cancelled => {}
+            () = tokio::time::sleep(SILENCE_TIME) => {
+                self.track_unanswered(started, LeafCheck::Connect, Instant::now());
+                tokio::select! {
+                    biased;
+                    result = &mut exchange => return Some(result),
+                    () = &mut cancelled => {}
+                }
+            }
         }
         self.cx.tier.counters.cancels.increment();
         let cancellation_sent = self.send_cancellation();
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -80,6 +80,8 @@
     ejections,
     /// Leafs found lost while a request ran on them, counted for each such request.
     leaf_crashes,
+    /// Checks whether a leaf is lost after a call to it that was not answered.
+    leaf_checks,
     /// Requests that ran as a probe because they were suspected of crashing leafs.
     probes,
     /// Requests refused because they were suspected of crashing leafs.
--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -18,6 +18,14 @@
 /// Time after the end of an unanswered call within which the loss of its leaf is attributed to it.
 /// It covers the restart of a leaf, the publication of its new entry, and an entry that expires.
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(10);
+/// Time between the two checks of a leaf after an unanswered call.
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(400);
+/// Number of checks of a leaf after an unanswered call.
+const CHECKS: u8 = 2;
+/// Shortest time between two checks of the same leaf.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Largest number of checks that start together.
+const MAX_CHECKS_AT_ONCE: usize = 4;
 /// Largest number of unanswered calls, and of lost leafs, that are remembered.
 const MAX_RECORDS: usize = 4_096;
 
@@ -36,10 +44,21 @@
     pub was_probe: bool,
 }
 
+/// Whether to check if the leaf of an unanswered call is lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeafCheck {
+    /// Connect to the leaf.
+    Connect,
+    /// Do not connect, as the leaf may have no connections left.
+    None,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct TrackedCall {
     call: UnansweredCall,
     until: Instant,
+    checks_left: u8,
+    next_check_at: Instant,
 }
 
 /// Unanswered calls and lost leafs of the last seconds, as observed by one process.
@@ -47,19 +66,26 @@
 pub struct CrashDetector {
     calls: Vec<TrackedCall>,
     lost: HashMap<LeafKey, Instant>,
+    checked: HashMap<LeafKey, Instant>,
 }
 
 impl CrashDetector {
     /// Records a call that ended without an answer or has waited for one for long. Returns a crash
     /// if its leaf was found lost after the call was written.
-    pub fn record_unanswered(&mut self, call: UnansweredCall, now: Instant) -> Option<Crash> {
+    pub fn record_unanswered(
+        &mut self,
+        call: UnansweredCall,
+        check: LeafCheck,
+        now: Instant,
+    ) -> Option<Crash> {
         self.expire(now);
         if self.lost.get(&call.leaf).is_some_and(|&lost_at| lost_at >= call.started_at) {
             self.calls.retain(|tracked| !is_same_run(&tracked.call, &call));
             return Some(crash(&call));
         }
         let until = now + EVIDENCE_WINDOW;
-        let tracked = TrackedCall { call, until };
+        let checks_left = if check == LeafCheck::Connect { CHECKS } else { 0 };
+        let tracked = TrackedCall { call, until, checks_left, next_check_at: now };
         let known = self.calls.iter().position(|known| is_same_run(&known.call, &call));
         if let Some(known) = known.map(|index| &mut self.calls[index]) {
             let was_probe = call.was_probe || known.call.was_probe;
@@ -89,10 +115,42 @@
         self.calls.retain(|tracked| tracked.call.fingerprint != fingerprint);
     }
 
+    /// Returns the leafs of all unanswered calls, each once.
+    pub fn tracked_leafs(&mut self, now: Instant) -> Vec<LeafKey> {
+        self.expire(now);
+        let mut leafs: Vec<_> = self.calls.iter().map(|tracked| tracked.call.leaf).collect();
+        leafs.sort_unstable();
+        leafs.dedup();
+        leafs
+    }
+
+    /// Returns the leafs to which to connect now, as calls to them went unanswered.
+    pub fn leafs_to_check(&mut self, now: Instant) -> Vec<LeafKey> {
+        let mut leafs = Vec::new();
+        for tracked in &mut self.calls {
+            let leaf = tracked.call.leaf;
+            let is_due = tracked.checks_left > 0 && tracked.next_check_at <= now;
+            let was_checked = |at: &Instant| now.saturating_duration_since(*at) < CHECK_INTERVAL;
+            if !is_due || leafs.len() >= MAX_CHECKS_AT_ONCE {
+                continue;
+            }
+            if leafs.contains(&leaf) || !self.checked.get(&leaf).is_some_and(was_checked) {
+                tracked.checks_left -= 1;
+                tracked.next_check_at = now + SECOND_CHECK_DELAY;
+                self.checked.insert(leaf, now);
+                if !leafs.contains(&leaf) {
+                    leafs.push(leaf);
+                }
+            }
+        }
+        leafs
+    }
+
     fn expire(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_WINDOW;
         self.calls.retain(|tracked| now < tracked.until);
         self.lost.retain(|_, lost_at| is_recent(*lost_at));
+        self.checked.retain(|_, checked_at| is_recent(*checked_at));
     }
 }
 
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -16,6 +16,7 @@
 use crate::caller_codec::CallerCodec;
 use crate::cluster_state::ClusterState;
 use crate::connection_manager::ConnectionManager;
+use crate::crash_verifier;
 use crate::edge::Edge;
 use crate::edge_control::EdgeControl;
 use crate::error_text::with_sources;
@@ -163,7 +164,7 @@
             budget,
             metrics.clone(),
         );
-        let edge = Arc::new(Edge::new(coordinator, views, parts.caller_codec));
+        let edge = Arc::new(Edge::new(coordinator, views.clone(), parts.caller_codec));
         let client = HttpClient::with_local_address(Some(settings.control.ip()));
         let link = Arc::new(FleetLink::new(cluster_state.clone(), tier.clone(), client));
         let call_reports = CallReportLink::new(cluster_state.clone(), tier.clone(), link.clone());
@@ -184,6 +185,7 @@
         tokio::spawn(ConnectionManager::new(cluster_state.clone(), tier.clone()).run());
         tokio::spawn(link.run());
         tokio::spawn(call_reports.run());
+        tokio::spawn(crash_verifier::run(tier.clone(), views.clone()));
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
         if let Some(port) = settings.metrics_port {
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -35,14 +35,35 @@
         }
         Err(e) => {
             tier.counters.connect_failures.increment();
-            if e.is_refused() {
-                tier.record_lost_leaf(leaf.key, LossCause::Refused, Instant::now());
+            if let Some(cause) = loss_cause(&e) {
+                tier.record_lost_leaf(leaf.key, cause, Instant::now());
             }
             Err(e)
         }
     }
 }
 
+/// Returns how a failure to connect shows that a leaf is lost; nothing if it does not. A connection
+/// that had less than the usual time does not show it.
+fn loss_cause(error: &BackendError) -> Option<LossCause> {
+    match error {
+        BackendError::ConnectTimeout { limit, .. } if *limit >= CONNECT_TIMEOUT => {
+            Some(LossCause::Unresponsive)
+        }
+        error => error.is_refused().then_some(LossCause::Refused),
+    }
+}
+
+/// Connects to a leaf to find out whether it is lost, and closes the connection again.
+pub(crate) async fn check_leaf(tier: &Tier, leaf: &Leaf) -> Result<(), BackendError> {
+    tier.counters.leaf_checks.increment();
+    let result = tier.backend.connect(leaf.host.addr, CONNECT_TIMEOUT).await;
+    if let Some(cause) = result.as_ref().err().and_then(loss_cause) {
+        tier.record_lost_leaf(leaf.key, cause, Instant::now());
+    }
+    result.map(drop)
+}
+
 /// Opens a connection in advance of calls and puts it into the pool. Records a failure in the
 /// leaf's estimates, by which a leaf that cannot be reached is ejected.
 pub async fn prewarm(tier: Arc<Tier>, leaf: Arc<Leaf>) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod control;
 pub mod counters;
 pub mod crash_detector;
+pub mod crash_verifier;
 pub mod daemon;
 pub mod zone_rtt;
 pub mod distribution;
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use serde::Serialize;
+use tokio::sync::Notify;
 
 use crate::backend::LeafBackend;
 use crate::budget::ExtraLoadBudget;
@@ -26,6 +27,7 @@
 use crate::catalogue::Entry;
 use crate::counters::Counters;
 use crate::crash_detector::CrashDetector;
+use crate::crash_detector::LeafCheck;
 use crate::crash_detector::UnansweredCall;
 use crate::documents::Document;
 use crate::documents::Result;
@@ -61,6 +63,10 @@
 pub enum LossCause {
     /// It refused a connection.
     Refused,
+    /// It did not respond to a connection.
+    Unresponsive,
+    /// The platform no longer lists this incarnation of it.
+    Unlisted,
     /// It broke the call's connection, where that alone counts.
     Broken,
     /// One of these causes, before its unanswered call ended.
@@ -122,6 +128,8 @@
     pub zone_rtts: Mutex<ZoneRtts>,
     /// Unanswered calls, which may turn out to have crashed their leafs.
     pub crash_detector: Mutex<CrashDetector>,
+    /// Notified when the crash detector has recorded an unanswered call.
+    pub call_unanswered: Notify,
     /// Reports of this host's leaf calls that are not yet sent to the zone's other hosts. Set only
     /// where hosts share such reports.
     pub call_reports: OnceLock<Mutex<CallReportQueue>>,
@@ -147,6 +155,7 @@
         Self {
             zone_rtts: Mutex::new(zone_rtts),
             crash_detector: Mutex::default(),
+            call_unanswered: Notify::new(),
             call_reports: OnceLock::new(),
             identity,
             counters: Counters::default(),
@@ -190,10 +199,11 @@
 
     /// Records a call that was not answered, which becomes evidence against its request if the leaf
     /// is found lost.
-    pub fn track_unanswered_call(&self, call: UnansweredCall, now: Instant) {
-        let crash = self.crash_detector.lock().unwrap().record_unanswered(call, now);
-        if let Some(crash) = crash {
-            self.record_crash(crash, LossCause::FoundBefore, now);
+    pub fn track_unanswered_call(&self, call: UnansweredCall, check: LeafCheck, now: Instant) {
+        let crash = self.crash_detector.lock().unwrap().record_unanswered(call, check, now);
+        match crash {
+            Some(crash) => _ = self.record_crash(crash, LossCause::FoundBefore, now),
+            None => self.call_unanswered.notify_one(),
         }
     }
 
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use jasmineusher_lib::crash_detector::CrashDetector;
+use jasmineusher_lib::crash_detector::LeafCheck;
 use jasmineusher_lib::crash_detector::UnansweredCall;
 use jasmineusher_lib::ids::LeafHash;
 use jasmineusher_lib::ids::LeafKey;
@@ -61,7 +62,7 @@
     let now = Instant::now();
     let mut detector = CrashDetector::default();
     for leaf in 0..20 {
-        assert_eq!(detector.record_unanswered(call(leaf, now), now), None);
+        assert_eq!(detector.record_unanswered(call(leaf, now), LeafCheck::Connect, now), None);
     }
     assert_eq!(detector.record_lost_leaf(LeafKey(99), now), []);
 }
@@ -72,10 +73,10 @@
 fn leaf_found_lost_seconds_after_an_unanswered_call_counts_as_crashed() {
     let now = Instant::now();
     let mut detector = CrashDetector::default();
-    detector.record_unanswered(call(4, now), now);
+    detector.record_unanswered(call(4, now), LeafCheck::None, now);
     assert_eq!(detector.record_lost_leaf(LeafKey(4), now + 5 * SECOND), [crash(4)]);
     assert_eq!(detector.record_lost_leaf(LeafKey(4), now + 5 * SECOND), [], "it counts once");
-    detector.record_unanswered(call(5, now), now);
+    detector.record_unanswered(call(5, now), LeafCheck::None, now);
     assert_eq!(detector.record_lost_leaf(LeafKey(5), now + 11 * SECOND), [], "too late");
 }
 
@@ -86,10 +87,10 @@
     let mut detector = CrashDetector::default();
     detector.record_lost_leaf(LeafKey(4), now + SECOND);
     let ended_at = now + 3 * SECOND;
-    let late = detector.record_unanswered(call(4, now), ended_at);
+    let late = detector.record_unanswered(call(4, now), LeafCheck::Connect, ended_at);
     assert_eq!(late, Some(crash(4)));
     let later = call(4, now + 2 * SECOND);
-    let after_restart = detector.record_unanswered(later, ended_at);
+    let after_restart = detector.record_unanswered(later, LeafCheck::Connect, ended_at);
     assert_eq!(after_restart, None, "the call was written after the loss");
 }
 
@@ -99,7 +100,7 @@
     let now = Instant::now();
     let mut detector = CrashDetector::default();
     for _ in 0..3 {
-        detector.record_unanswered(call(4, now), now);
+        detector.record_unanswered(call(4, now), LeafCheck::Connect, now);
     }
     assert_eq!(detector.record_lost_leaf(LeafKey(4), now), [crash(4)]);
     let mut quarantine = Quarantine::new(1);
@@ -111,11 +112,28 @@
 fn request_that_was_answered_is_not_blamed_for_a_leaf_lost_later() {
     let now = Instant::now();
     let mut detector = CrashDetector::default();
-    detector.record_unanswered(call(4, now), now);
+    detector.record_unanswered(call(4, now), LeafCheck::Connect, now);
     detector.record_answer(REQUEST);
     assert_eq!(detector.record_lost_leaf(LeafKey(4), now), []);
 }
 
+/// Each check opens a connection, of which a crowded leaf has none left.
+#[test]
+fn leafs_of_unanswered_calls_are_checked_twice_and_a_few_at_a_time() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    for leaf in 0..6 {
+        detector.record_unanswered(call(leaf, now), LeafCheck::Connect, now);
+    }
+    detector.record_unanswered(call(6, now), LeafCheck::None, now);
+    let mut checks: Vec<_> = (0..100)
+        .flat_map(|round| detector.leafs_to_check(now + round * Duration::from_millis(50)))
+        .collect();
+    assert!(detector.leafs_to_check(now).is_empty());
+    checks.sort();
+    assert_eq!(checks, (0..6).flat_map(|leaf| [LeafKey(leaf); 2]).collect::<Vec<_>>());
+}
+
 /// Three hosts each detect one crash before they hear of each other. If they exchanged numbers, each
 /// would still hold the number 1.
 #[test]
