suspect_link: announce crashes to other hosts at once

What callers saw: a request that crashes leafs was sent to further leafs by hosts that had not heard of the crashes yet.

Cause: crashes travelled with the exchanges of host records only, one every 2 s and mostly within the zone. A large fleet needs several rounds; the platform allows contact_ms, 5 to 6 s, in all.

Now a host sends its news of suspected requests to six others of all zones within 10 ms, and each host to which anything in them is new does the same. Starts of probes and answers travel the same way. Exchanges remain for hosts that no announcement reaches and for those that start later. Six was computed: if each host passes news on once, all but one in 400 are expected to be reached.

A test on the tables brings three crashes, detected by three of 84 hosts, to all but a few of them with a tenth of the announcements lost.

--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -30,6 +30,8 @@
 use crate::metrics::Metrics;
 use crate::quarantine::SuspectReport;
 use crate::socket;
+use crate::suspect_link::SUSPECTS_PATH;
+use crate::suspect_link::SuspectLink;
 use crate::tier::Tier;
 
 /// Path that returns the metrics in the exposition format of Prometheus.
@@ -45,6 +47,8 @@
     pub link: Arc<FleetLink>,
     /// Answers the exchanges of call reports within the zone.
     pub call_reports: Arc<CallReportLink>,
+    /// Answers the announcements of suspected requests.
+    pub suspects: Arc<SuspectLink>,
     /// State of the platform and of the fleet, for the readiness check and the state dump.
     pub cluster_state: Arc<ClusterState>,
     /// Server for callers, whose connections and requests are counted in the state.
@@ -123,6 +127,7 @@
             }
             EXCHANGE_PATH => encoded_response(self.link.answer_exchange(&body)),
             CALL_REPORTS_PATH => encoded_response(self.call_reports.answer_reports(&body)),
+            SUSPECTS_PATH => encoded_response(self.suspects.answer_announcement(&body)),
             CHANGES_PATH => encoded_response(self.link.answer_changes(&body).await),
             _ => reply(StatusCode::NOT_FOUND, "no such path"),
         })
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -44,6 +44,7 @@
 use crate::signature::KeyRing;
 use crate::subscriber::Subscriber;
 use crate::subscription::Subscription;
+use crate::suspect_link::SuspectLink;
 use crate::tier::Identity;
 use crate::tier::Tier;
 use crate::zone_rtt::ZoneRtts;
@@ -169,9 +170,12 @@
         let link = Arc::new(FleetLink::new(cluster_state.clone(), tier.clone(), client));
         let call_reports = CallReportLink::new(cluster_state.clone(), tier.clone(), link.clone());
         let call_reports = Arc::new(call_reports);
+        let suspects = SuspectLink::new(cluster_state.clone(), tier.clone(), link.clone());
+        let suspects = Arc::new(suspects);
         let control_service = Arc::new(EdgeControl {
             link: link.clone(),
             call_reports: call_reports.clone(),
+            suspects: suspects.clone(),
             cluster_state: cluster_state.clone(),
             edge: edge.clone(),
             metrics,
@@ -185,6 +189,7 @@
         tokio::spawn(ConnectionManager::new(cluster_state.clone(), tier.clone()).run());
         tokio::spawn(link.run());
         tokio::spawn(call_reports.run());
+        tokio::spawn(suspects.run());
         tokio::spawn(crash_verifier::run(tier.clone(), views.clone()));
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -224,6 +224,12 @@
         fitting.or_else(any).map(|member| member.record.addr)
     }
 
+    /// Returns the addresses of up to `count` other hosts, chosen at random from all zones.
+    pub fn sample(&self, rng: &mut impl Rng, count: usize) -> Vec<SocketAddr> {
+        let addrs = self.members.values().map(|member| member.record.addr);
+        addrs.choose_multiple(rng, count)
+    }
+
     /// Returns the assumed number of hosts, this one included. It is deliberately high during
     /// discovery, when the table lacks most hosts; afterwards it is the number of hosts in the
     /// table.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod signature;
 pub mod socket;
 pub mod state;
+pub mod suspect_link;
 pub mod pause_detector;
 pub mod subscriber;
 pub mod subscription;
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -153,6 +153,7 @@
             Decision::Run => Suspicion::Clear,
             Decision::Probe => {
                 self.tier.counters.probes.increment();
+                self.tier.suspects_changed.notify_one();
                 Suspicion::Suspected
             }
             Decision::Refuse(wait) => {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -11,6 +11,7 @@
 //! leafs that are lost together would otherwise block every request that ran on several of them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
@@ -270,6 +271,8 @@
     blocking_crashes: usize,
     records: HashMap<Fingerprint, Record>,
     recent_answers: RecentAnswers,
+    /// Requests whose record has changed since [`Quarantine::take_news`].
+    news: HashSet<Fingerprint>,
 }
 
 impl Default for Quarantine {
@@ -282,7 +285,12 @@
     /// Creates a quarantine that blocks a request when it has crashed this number of leafs, at
     /// least one of them by a probe.
     pub fn new(blocking_crashes: usize) -> Self {
-        Self { blocking_crashes, records: HashMap::new(), recent_answers: RecentAnswers::default() }
+        Self {
+            blocking_crashes,
+            records: HashMap::new(),
+            recent_answers: RecentAnswers::default(),
+            news: HashSet::new(),
+        }
     }
 
     /// Decides how to handle a request. Starts a probe for a suspected one; a further request with
@@ -299,6 +307,7 @@
                 Some(until) if now < until => Decision::Refuse(until - now),
                 _ => {
                     record.start_probe(now);
+                    self.add_news(fingerprint);
                     Decision::Probe
                 }
             },
@@ -326,7 +335,11 @@
     pub fn record_answer(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.recent_answers.add(fingerprint, now);
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
-        record.add_answer(now)
+        let is_cleared = record.add_answer(now);
+        if is_cleared {
+            self.add_news(fingerprint);
+        }
+        is_cleared
     }
 
     /// Merges another host's report. Returns the state of the request if the report contained
@@ -378,9 +391,17 @@
         if !is_new {
             return None;
         }
+        self.add_news(fingerprint);
         Some(Change { fingerprint, suspicion, is_transition: suspicion != before, crashes })
     }
 
+    /// Notes a changed record. The number is bounded, as not every process takes the news.
+    fn add_news(&mut self, fingerprint: Fingerprint) {
+        if self.news.len() < MAX_RECORDS {
+            self.news.insert(fingerprint);
+        }
+    }
+
     fn make_room(&mut self, now: Instant) {
         if self.records.len() < MAX_RECORDS {
             return;
@@ -393,6 +414,13 @@
         }
     }
 
+    /// Returns the reports of the requests whose record has changed since the last call of this
+    /// method.
+    pub fn take_news(&mut self, now: Instant) -> Vec<SuspectReport> {
+        let news = std::mem::take(&mut self.news);
+        news.iter().filter_map(|&f| Some(report(f, self.records.get(&f)?, now))).collect()
+    }
+
     /// Returns a report of each record that has not expired, to be sent to other hosts. The last
     /// changed records are first.
     pub fn reports(&self, now: Instant) -> Vec<SuspectReport> {
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -122,6 +122,8 @@
     pub counters: Counters,
     /// Requests that are suspected of crashing leafs.
     pub quarantine: Mutex<Quarantine>,
+    /// Notified when the quarantine has news for other hosts.
+    pub suspects_changed: Notify,
     /// Effort of ended calls by owner and entry.
     pub ledger: Mutex<Ledger>,
     /// Measured round-trip times to the zones.
@@ -156,6 +158,7 @@
             zone_rtts: Mutex::new(zone_rtts),
             crash_detector: Mutex::default(),
             call_unanswered: Notify::new(),
+            suspects_changed: Notify::new(),
             call_reports: OnceLock::new(),
             identity,
             counters: Counters::default(),
@@ -229,7 +232,7 @@
             cause = ?cause,
             crashes = change.crashes
         );
-        self.log_change(change, SuspectSource::Own);
+        self.announce_change(change, SuspectSource::Own);
         change.is_transition
     }
 
@@ -238,6 +241,7 @@
         self.crash_detector.lock().unwrap().record_answer(fingerprint);
         if self.quarantine.lock().unwrap().record_answer(fingerprint, now) {
             log_event!(info, Event::RequestCleared, fingerprint = %fingerprint);
+            self.suspects_changed.notify_one();
         }
     }
 
@@ -246,13 +250,14 @@
         for report in reports {
             let change = self.quarantine.lock().unwrap().merge(report, now);
             if let Some(change) = change {
-                self.log_change(change, SuspectSource::Peer);
+                self.announce_change(change, SuspectSource::Peer);
             }
         }
     }
 
-    /// Logs a change of a request's state.
-    fn log_change(&self, change: Change, source: SuspectSource) {
+    /// Logs a change of a request's state and passes it on to other hosts.
+    fn announce_change(&self, change: Change, source: SuspectSource) {
+        self.suspects_changed.notify_one();
         let Change { fingerprint, suspicion, is_transition, crashes } = change;
         let event = match suspicion {
             Suspicion::Blocked => Event::RequestBlocked,
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -1,12 +1,17 @@
 //! Tests of poison request detection: which crashes are attributed to a request, and what hosts that
 //! exchange their records decide.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use jasmineusher_lib::crash_detector::CrashDetector;
 use jasmineusher_lib::crash_detector::LeafCheck;
 use jasmineusher_lib::crash_detector::UnansweredCall;
+use jasmineusher_lib::fleet::AgedRecord;
+use jasmineusher_lib::fleet::Fleet;
+use jasmineusher_lib::fleet::HostRecord;
+use jasmineusher_lib::ids::Incarnation;
 use jasmineusher_lib::ids::LeafHash;
 use jasmineusher_lib::ids::LeafKey;
 use jasmineusher_lib::plan::Suspicion;
@@ -15,6 +20,9 @@
 use jasmineusher_lib::quarantine::Fingerprint;
 use jasmineusher_lib::quarantine::Quarantine;
 use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const SECOND: Duration = Duration::from_secs(1);
 const REQUEST: Fingerprint = Fingerprint(1);
@@ -300,3 +308,77 @@
         prop_assert!(suspicions.iter().all(|s| *s == suspicions[0]), "{suspicions:?}");
     }
 }
+
+/// Hosts of a fleet that know each other, with a quarantine each.
+struct TestFleet {
+    hosts: Vec<(SocketAddr, Fleet, Quarantine)>,
+    rng: StdRng,
+}
+
+impl TestFleet {
+    fn new(count: u8, seed: u64, now: Instant) -> Self {
+        let record = |number: u8| HostRecord {
+            name: format!("front-{number}"),
+            addr: SocketAddr::from(([10, 0, 0, number], 8224)),
+            zone: format!("zone-{}", number % 6),
+            incarnation: Incarnation(1),
+            leaving: false,
+            blind: false,
+        };
+        let records: Vec<_> = (0..count)
+            .map(|number| AgedRecord { card: record(number), age: Duration::ZERO })
+            .collect();
+        let host = |number| {
+            let mut fleet = Fleet::new(record(number), [], now);
+            fleet.merge_records(records.clone(), now);
+            (record(number).addr, fleet, Quarantine::new(BLOCKING_CRASHES))
+        };
+        Self { hosts: (0..count).map(host).collect(), rng: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Lets each host announce its news to `fan_out` others until none has any left. Returns the
+    /// number of rounds. A share `loss` of the announcements does not arrive.
+    fn announce(&mut self, fan_out: usize, loss: f64, now: Instant) -> usize {
+        for round in 0.. {
+            let mut messages = Vec::new();
+            for (_, fleet, quarantine) in &mut self.hosts {
+                let news = quarantine.take_news(now);
+                if !news.is_empty() {
+                    let peers = fleet.sample(&mut self.rng, fan_out);
+                    messages.extend(peers.into_iter().map(|peer| (peer, news.clone())));
+                }
+            }
+            if messages.is_empty() {
+                return round;
+            }
+            for (peer, news) in messages {
+                let is_lost = self.rng.random_bool(loss);
+                let to = self.hosts.iter_mut().find(|(addr, ..)| *addr == peer && !is_lost);
+                if let Some((_, _, quarantine)) = to {
+                    news.iter().for_each(|report| _ = quarantine.merge(report, now));
+                }
+            }
+        }
+        unreachable!("the rounds are not bounded")
+    }
+}
+
+/// Exchanges every 2 s alone need several rounds, in which the request goes on crashing leafs.
+#[test]
+fn announced_crashes_reach_nearly_all_of_84_hosts_within_few_hops() {
+    let now = Instant::now();
+    for seed in 0..20 {
+        let mut fleet = TestFleet::new(84, seed, now);
+        for leaf in 0..3 {
+            fleet.hosts[leaf as usize].2.record_crash(probe_crash(leaf), now);
+        }
+        let rounds = fleet.announce(6, 0.1, now);
+        let blocked = fleet
+            .hosts
+            .iter()
+            .filter(|(_, _, quarantine)| quarantine.suspicion(REQUEST, now) == Suspicion::Blocked);
+        assert!(rounds <= 10, "seed {seed}: {rounds} rounds");
+        let blocked = blocked.count();
+        assert!(blocked >= 80, "seed {seed}: {blocked} of 84 hosts block the request");
+    }
+}
