query: no second call to every shard before any leaf has answered

What callers saw: a gathered request that crashes leafs took two leafs of each shard in its first attempt, and others lost their answers with them.

Cause: until crashes are detected, the first attempt of a poison request ran like any other. On the platform's side each broken call was retried at once and each slow one hedged, on all shards together.

Now, while no leaf has answered the request, only one broken call is retried and the retries of the others are held until any leaf answers, and at most two calls are hedged. The first answer of any shard lifts both limits, for a harmless request after some milliseconds. A call on a new connection is retried as before, as a leaf at its connection limit breaks many of them. The own interface keeps its rule that only the probe's answer clears.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -228,7 +228,11 @@
                     _ if e.proves_not_sent() => CallLoss::NotSent,
                     None => CallLoss::Broken,
                     Some(_) if self.send.is_probe => CallLoss::Broken,
-                    Some(_) => CallLoss::Garbled,
+                    // A leaf that is at its connection limit breaks many new connections.
+                    Some(_) if self.was_answered() || e.shows_connection_overflow() => {
+                        CallLoss::Garbled
+                    }
+                    Some(_) => CallLoss::Broken,
                 };
                 if loss != CallLoss::NotSent {
                     let may_check = !e.shows_connection_overflow();
@@ -267,10 +271,15 @@
         }
     }
 
+    /// Returns whether a leaf has run the request and answered.
+    fn was_answered(&self) -> bool {
+        self.cx.answered.load(Ordering::Relaxed)
+    }
+
     /// Records this call as unanswered, unless another leaf has answered the request.
     fn track_unanswered(&self, started_at: Instant, check: LeafCheck, now: Instant) {
         let Some(fingerprint) = self.cx.crash_detector_fingerprint else { return };
-        if self.cx.answered.load(Ordering::Relaxed) {
+        if self.was_answered() {
             return;
         }
         let call = UnansweredCall {
--- a/lib/src/coordinator.rs
+++ b/lib/src/coordinator.rs
@@ -232,6 +232,7 @@
                 target_at: self.entry.goal.map(|goal| self.arrived_at + goal),
                 first_attempt,
                 suspicion,
+                any_answer_clears: false,
             };
             let leafs = view.leafs.clone();
             let mut driver = self.driver(coordinator, view, Query::new(plan));
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -185,6 +185,7 @@
             target_at: entry.goal.map(|goal| latest_send_time(goal, arrived_at)),
             first_attempt: Attempt(0),
             suspicion,
+            any_answer_clears: true,
         };
         let mut driver = self.new_driver(&req, fingerprint, &view, entry, plan);
         // This future never completes: a caller that disconnects drops the future of `answer`.
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -89,7 +89,7 @@
     pub purpose: Purpose,
     /// The cost by which the leaf was chosen; for the log.
     pub cost: Duration,
-    /// Whether the request is suspected of crashing leafs and this is its only call.
+    /// Whether the request was suspected of crashing leafs from the start and this is its only call.
     pub is_probe: bool,
 }
 
@@ -147,4 +147,6 @@
     pub first_attempt: Attempt,
     /// Whether the request's fingerprint is suspected at the start.
     pub suspicion: Suspicion,
+    /// Whether an answer of any leaf shows that the request crashes none, not only the probe's.
+    pub any_answer_clears: bool,
 }
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -103,6 +103,10 @@
     pub(crate) open_shards: usize,
     /// Number of calls in progress on all shards.
     pub(crate) live: usize,
+    /// Whether a leaf has run the request and answered.
+    pub(crate) answered: bool,
+    /// Number of hedges before the first answer.
+    pub(crate) early_hedges: usize,
     /// Whether any call that has ended may have run on its leaf.
     pub(crate) may_have_run: bool,
     /// Whether a leaf reported that it no longer has the pinned version.
@@ -135,6 +139,8 @@
             failure: None,
             open_shards: count,
             live: 0,
+            answered: false,
+            early_hedges: 0,
             may_have_run: false,
             version_lost: false,
             suspicion,
@@ -233,6 +239,7 @@
     ) {
         self.may_have_run |= !reply.status.proves_not_run();
         if !reply.status.proves_not_run() {
+            self.answered = true;
             self.clear_suspicion(attempt, now, policy, out);
         }
         match reply.status {
@@ -379,7 +386,9 @@
         state.live += 1;
         state.tried.push(leaf);
         self.live += 1;
-        let is_probe = self.suspicion == Suspicion::Suspected;
+        // A retry of a request that became suspected only in this query is no probe for others.
+        let was_suspected = self.plan.suspicion == Suspicion::Suspected;
+        let is_probe = was_suspected && self.suspicion == Suspicion::Suspected;
         let call = self.call_id(attempt, shard);
         out.sends.push(SendCall { call, leaf, purpose, cost, is_probe });
         attempt
--- a/lib/src/query_hedge.rs
+++ b/lib/src/query_hedge.rs
@@ -10,6 +10,10 @@
 use crate::plan::Purpose;
 use crate::query::Query;
 
+/// Number of hedges of a query before any leaf has answered. If the request crashes leafs, each
+/// further hedge would crash one more.
+const MAX_EARLY_HEDGES: usize = 2;
+
 impl<P> Query<P> {
     /// Returns the time at which a call to `leaf` that starts now is to be hedged. Returns nothing
     /// if the entry is not idempotent or allows no extra load, or the policy gives no delay.
@@ -57,11 +61,18 @@
             self.close_call(slow);
             self.shard(shard).unsent += 1;
             self.send(shard, choice, Purpose::First, out);
-        } else if policy.try_hedge(slow_leaf, self.is_decisive(), now) {
+        } else if self.may_hedge_early() && policy.try_hedge(slow_leaf, self.is_decisive(), now) {
+            self.early_hedges += usize::from(!self.answered);
             self.send(shard, choice, Purpose::Hedge, out);
         }
     }
 
+    /// Returns whether a hedge may be sent although no leaf may have answered yet.
+    fn may_hedge_early(&self) -> bool {
+        let is_early = self.plan.any_answer_clears && !self.answered;
+        !is_early || self.early_hedges < MAX_EARLY_HEDGES
+    }
+
     /// Returns whether more shards are still missing than the minimum coverage allows, so that an
     /// answer would be of no use yet.
     fn is_decisive(&self) -> bool {
--- a/lib/src/query_retry.rs
+++ b/lib/src/query_retry.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Clears the suspicion if the call was the probe, as its leaf ran it without a crash. Then
-    /// sends the calls that were held back.
+    /// Clears the suspicion if the call was the probe, as its leaf ran it without a crash, or any
+    /// call if the plan allows that. Then sends the calls that were held back.
     pub(crate) fn clear_suspicion(
         &mut self,
         attempt: Attempt,
@@ -77,7 +77,9 @@
         policy: &mut dyn Policy,
         out: &mut Actions,
     ) {
-        if self.probe != Some(attempt) || self.end_reason.is_some() {
+        let is_suspected = self.suspicion == Suspicion::Suspected;
+        let clears = self.probe == Some(attempt) || self.plan.any_answer_clears && is_suspected;
+        if !clears || self.end_reason.is_some() {
             return;
         }
         self.probe = None;
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -118,6 +118,7 @@
         target_at: None,
         first_attempt: Attempt(0),
         suspicion,
+        any_answer_clears: false,
     }
 }
 
@@ -328,6 +329,49 @@
     assert_eq!(run.calls.len(), 6, "a blocked request sends nothing more");
 }
 
+fn run_cleared_by_any_answer() -> Run {
+    let now = Instant::now();
+    let mut plan = plan("lookup", now, Suspicion::Clear, 3);
+    plan.any_answer_clears = true;
+    Run::start_plan(plan, now)
+}
+
+/// A poison request breaks the calls of all shards. If each were retried at once, the request would
+/// crash a second leaf of every shard.
+#[test]
+fn request_whose_calls_all_break_before_an_answer_is_retried_once() {
+    let mut run = run_cleared_by_any_answer();
+    (0..5).for_each(|call| run.lose(call, CallLoss::Broken));
+    assert_eq!(run.calls.len(), 6, "one retry is sent as the probe");
+    run.lose(5, CallLoss::Broken);
+    assert_eq!(run.calls.len(), 6, "nothing more is sent");
+    assert_eq!(run.finish().outcome, OutcomeKind::Unknown);
+}
+
+#[test]
+fn answer_of_any_shard_sends_the_retries_held_for_the_probe() {
+    let mut run = run_cleared_by_any_answer();
+    run.lose(0, CallLoss::Broken);
+    run.lose(1, CallLoss::Broken);
+    assert_eq!(run.calls.len(), 6, "one retry is sent as the probe, the other is held back");
+    run.answer(4, LeafStatus::Ok);
+    assert_eq!((run.calls.len(), run.query.suspicion()), (7, Suspicion::Clear));
+    [2, 3, 5, 6].into_iter().for_each(|call| run.answer(call, LeafStatus::Ok));
+    assert_eq!(run.finish().outcome, OutcomeKind::Complete);
+}
+
+/// A poison request that crashes leafs silently is slow on all shards. If each were hedged, the
+/// request would crash a second leaf of every shard.
+#[test]
+fn few_hedges_are_sent_before_any_leaf_has_answered() {
+    let mut run = run_cleared_by_any_answer();
+    run.advance(Duration::from_millis(200));
+    assert_eq!(run.calls.len(), 7);
+    run.answer(0, LeafStatus::Ok);
+    run.advance(Duration::from_millis(200));
+    assert!(run.calls.len() >= 9, "{} calls: the other slow shards are hedged", run.calls.len());
+}
+
 /// One event of a random interleaving. The first number picks one of the calls in progress; that of
 /// `AdvanceTime` is a time in milliseconds.
 #[derive(Clone, Debug)]
