edge: answer requests that are open at the end of a graceful shutdown

What callers saw: a request that a leaf had run lost its connection without an answer when its host was shut down gracefully.

Cause: the process exits at the end of its grace period, whether or not requests are open. A request to a leaf that has fallen silent stays open until its deadline, which may be later. Not new: the fault exists since the shutdown was written, and no test had a leaf silent for that long during one.

Now the process ends open queries shortly before it exits: their callers get what was merged, if it suffices, else 502, or 503 if no leaf has run the request.

Evidence: request_open_at_the_end_of_a_graceful_shutdown_is_answered failed before (no answer), passes now.

--- a/cli/tests/test_edge/serving.rs
+++ b/cli/tests/test_edge/serving.rs
@@ -214,6 +214,22 @@
     eventually("the daemon exits", async || bed.daemons[0].has_ended().then_some(())).await;
 }
 
+/// A leaf that falls silent keeps requests open until their deadline, which may be later than the
+/// end of the process. The caller must be told that the request may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_open_at_the_end_of_a_graceful_shutdown_is_answered() {
+    let mut bed = EdgeBed::start(1, 1, 1).await;
+    let mut caller = caller(&bed, 0).await;
+    caller.get("/one/1", "o1").await.expect("the request is answered");
+    bed.leafs[0].set_behaviour(Behaviour::Slow(10_000));
+    bed.daemons[0].terminate();
+    tokio::time::sleep(Duration::from_millis(1_700)).await;
+    let answer = caller.get("/one/1", "o2").await.expect("the request is answered");
+    assert_eq!((answer.status, answer.header("connection").as_str()), (502, "close"));
+    assert_eq!(bed.runs("o2"), 1);
+    eventually("the daemon exits", async || bed.daemons[0].has_ended().then_some(())).await;
+}
+
 /// If the call went on after its caller has disconnected, it would occupy a slot of the leaf for an
 /// answer that nobody reads.
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -135,6 +135,14 @@
         if self.query.is_over() { Step::Over } else { Step::Open }
     }
 
+    /// Ends the query before its outcome is decided, with what was merged so far, and cancels the
+    /// calls in progress.
+    pub fn end_early(&mut self) {
+        let mut actions = Actions::default();
+        self.query.end_early(&mut actions);
+        self.execute(&mut actions);
+    }
+
     fn handle_event(&mut self, event: CallEvent<P>, actions: &mut Actions) {
         let now = Instant::now();
         match event {
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -97,6 +97,11 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
+    /// Answers all requests in progress with what their leafs have answered so far.
+    pub fn end_requests_early(&self) {
+        self.coordinator.end_queries_early();
+    }
+
     /// Returns whether [`Edge::start_leaving`] was called.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -54,6 +54,8 @@
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(2_500);
 /// Part of the time allowed for the shutdown that is reserved for exiting.
 const EXIT_MARGIN: Duration = Duration::from_millis(900);
+/// Part of that time in which requests that are still in progress are answered.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Interval at which a leaving process checks whether its connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the process checks whether it was paused.
@@ -222,8 +224,8 @@
 
     /// Shuts down gracefully: keeps idle connections open until the load balancer can have detected
     /// the shutdown, then closes them and waits until all connections are closed, which lets
-    /// requests in progress finish. Returns after at most `EdgeSettings::grace`, less a margin for
-    /// exiting.
+    /// requests in progress finish. Requests that take longer are answered with what there is.
+    /// Returns after at most `EdgeSettings::grace`, less a margin for exiting.
     pub async fn shut_down(self) {
         let started = Instant::now();
         self.edge.start_leaving();
@@ -233,13 +235,20 @@
         let deadline = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
         tokio::time::sleep_until((started + BALANCER_DETECTION_TIME).min(deadline).into()).await;
         self.edge.close_idle_connections();
-        while self.edge.connections() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        }
+        self.wait_for_connections(deadline).await;
+        self.edge.end_requests_early();
+        self.wait_for_connections(deadline + FINAL_ANSWER_TIME).await;
         let (connections, in_progress) = (self.edge.connections(), self.edge.in_progress());
         let took_ms = started.elapsed().as_millis() as u64;
         log_event!(info, Event::Stopped, connections, in_progress, took_ms);
     }
+
+    /// Waits until all connections of callers are closed, at most until `deadline`.
+    async fn wait_for_connections(&self, deadline: Instant) {
+        while self.edge.connections() > 0 && Instant::now() < deadline {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
 }
 
 fn make_tier(settings: &EdgeSettings) -> Arc<Tier> {
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -10,6 +10,7 @@
 
 use hyper::StatusCode;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::answer::OutcomeKind;
 use crate::answer::Reason;
@@ -69,6 +70,8 @@
     budget: Arc<Mutex<FleetBudget>>,
     metrics: Arc<Metrics>,
     pickers: Mutex<HashMap<EntryName, EntryPicker>>,
+    /// Whether queries end before their outcome is decided, as the process is about to exit.
+    ends_early: watch::Sender<bool>,
 }
 
 /// State of the traffic split of one entry. It is created again when the entry's target changes.
@@ -95,7 +98,14 @@
         budget: Arc<Mutex<FleetBudget>>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self { tier, views, codecs, budget, metrics, pickers: Mutex::default() }
+        let (pickers, ends_early) = (Mutex::default(), watch::Sender::new(false));
+        Self { tier, views, codecs, budget, metrics, pickers, ends_early }
+    }
+
+    /// Ends all queries, and from now on each new one, with what was merged so far. Their callers
+    /// are answered as if the deadline had passed.
+    pub fn end_queries_early(&self) {
+        self.ends_early.send_replace(true);
     }
 
     /// Answers one request, which arrived at `arrived_at`. Waits a short time for the first
@@ -190,8 +200,18 @@
         let mut driver = self.new_driver(&req, fingerprint, &view, entry, plan);
         // This future never completes: a caller that disconnects drops the future of `answer`.
         let mut disconnected = std::pin::pin!(std::future::pending::<()>());
+        let mut ends_early = self.ends_early.subscribe();
         driver.start();
-        while driver.step(disconnected.as_mut()).await == Step::Open {}
+        loop {
+            tokio::select! {
+                step = driver.step(disconnected.as_mut()) => if step != Step::Open { break },
+                // The sender is part of this coordinator, so that the wait cannot fail.
+                _ = ends_early.wait_for(|ends_early| *ends_early) => {
+                    driver.end_early();
+                    break;
+                }
+            }
+        }
         let outcome = driver.query.take_outcome();
         if suspicion == Suspicion::Suspected && outcome.kind == OutcomeKind::NotRun {
             self.tier.quarantine.lock().unwrap().release_probe(fingerprint);
@@ -364,6 +384,9 @@
         Reason::DeadlineExceeded => {
             LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "No leaf could be reached in time")
         }
+        Reason::NotReady => {
+            LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "The process is shutting down")
+        }
         _ => LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "Too few leafs can be reached"),
     }
 }
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -296,6 +296,13 @@
         self.finish_if_decided(now, out);
     }
 
+    /// Ends the query with what was merged so far, as the process shuts down.
+    pub fn end_early(&mut self, out: &mut Actions) {
+        if self.end_reason.is_none() {
+            self.finish(Reason::NotReady, out);
+        }
+    }
+
     /// Returns the time at which [`Query::tick`] must be called next, at the latest.
     pub fn next_tick_at(&self, now: Instant) -> Instant {
         let hedges = self.shards.iter().filter(|s| !s.merged).filter_map(|s| s.hedge_at);
