tests: the soak sends a request that crashes leafs

A crashing request now goes to the daemons in turn through all faults of a run, and a last check holds that it runs in at most three of twelve attempts later than 5 s after all faults have ended.

--- a/cli/tests/test_edge/crashing_requests.rs
+++ b/cli/tests/test_edge/crashing_requests.rs
@@ -16,9 +16,9 @@
 use crate::edge_bed::runs;
 
 /// Time after the third crash from which on the platform counts the retries that reach leafs.
-const CONTACT_TIME: Duration = Duration::from_secs(5);
+pub const CONTACT_TIME: Duration = Duration::from_secs(5);
 /// Largest number of such retries.
-const MAX_LATE_RUNS: usize = 3;
+pub const MAX_LATE_RUNS: usize = 3;
 /// Time for which a request is sent again.
 const RESEND_TIME: Duration = Duration::from_secs(10);
 /// Text of the refusal of a request that has crashed leafs.
@@ -102,27 +102,27 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashes_leafs_which_fall_silent_stops_reaching_leafs() {
     let (hosts, replicas) = hosts_and_replicas(16);
-    let bed = EdgeBed::start_with_crashing_leafs(1, replicas, hosts, Downtime::Silent).await;
+    let bed = EdgeBed::start_without_leaf_proxies(1, replicas, hosts, Downtime::Silent).await;
     check_crashing_request(&bed, "one", Duration::from_millis(250)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashes_leafs_which_refuse_connections_stops_reaching_leafs() {
     let (hosts, replicas) = hosts_and_replicas(16);
-    let bed = EdgeBed::start_with_crashing_leafs(1, replicas, hosts, Downtime::Refusing).await;
+    let bed = EdgeBed::start_without_leaf_proxies(1, replicas, hosts, Downtime::Refusing).await;
     check_crashing_request(&bed, "one", Duration::from_millis(250)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gathered_request_that_crashes_leafs_blocks_no_other_request() {
     let (hosts, replicas) = hosts_and_replicas(6);
-    let bed = EdgeBed::start_with_crashing_leafs(4, replicas, hosts, Downtime::Refusing).await;
+    let bed = EdgeBed::start_without_leaf_proxies(4, replicas, hosts, Downtime::Refusing).await;
     check_crashing_request(&bed, "all", Duration::from_millis(400)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gathered_request_that_crashes_silent_leafs_stops_reaching_leafs() {
     let (hosts, replicas) = hosts_and_replicas(6);
-    let bed = EdgeBed::start_with_crashing_leafs(4, replicas, hosts, Downtime::Silent).await;
+    let bed = EdgeBed::start_without_leaf_proxies(4, replicas, hosts, Downtime::Silent).await;
     check_crashing_request(&bed, "all", Duration::from_millis(400)).await;
 }
--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -80,40 +80,24 @@
 }
 
 impl Leaf {
-    /// Starts a leaf and the fault-injecting proxy in front of it, on free ports.
-    pub async fn start(instance: &str, group: &str, network: &Network) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let addr =
-            network.start_proxy(free_addr(), listener.local_addr().expect("it is bound")).await;
-        let leaf = Arc::new(Self {
-            instance: instance.to_owned(),
-            group: group.to_owned(),
-            addr: addr.expect("the proxy starts"),
-            behaviour: Mutex::default(),
-            runs: Mutex::default(),
-            arrivals: AtomicUsize::new(0),
-            abandoned: AtomicUsize::new(0),
-            crashes: watch::Sender::default(),
-        });
-        let acceptor = leaf.clone();
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let leaf = acceptor.clone();
-                tokio::spawn(async move { leaf.serve(&mut stream).await });
-            }
-        });
-        leaf
-    }
-
-    /// Starts a leaf without a proxy, so that it can refuse connections. It crashes when it runs a
-    /// request whose path contains [`CRASHING_PATH`], and publishes a new entry when it runs again.
-    pub async fn start_crashing(
+    /// Starts a leaf on a free port, with a fault-injecting proxy in front of it if `network` is
+    /// given, and publishes its entry. The leaf crashes when it runs a request whose path contains
+    /// [`CRASHING_PATH`], and publishes a new entry when it runs again.
+    pub async fn start(
         instance: &str,
         group: &str,
+        network: Option<&Network>,
         store: Arc<Store>,
         downtime: Downtime,
     ) -> Arc<Self> {
-        let addr = free_addr();
+        let listen_addr = free_addr();
+        let listener = TcpListener::bind(listen_addr).await.expect("the port is free");
+        let addr = match network {
+            Some(network) => {
+                network.start_proxy(free_addr(), listen_addr).await.expect("the proxy starts")
+            }
+            None => listen_addr,
+        };
         let leaf = Arc::new(Self {
             instance: instance.to_owned(),
             group: group.to_owned(),
@@ -124,7 +108,6 @@
             abandoned: AtomicUsize::new(0),
             crashes: watch::Sender::default(),
         });
-        let listener = TcpListener::bind(addr).await.expect("the port is free");
         store.put_leaf(&leaf, "ready", 1);
         tokio::spawn(leaf.clone().run_incarnations(listener, store, downtime));
         leaf
@@ -137,6 +120,7 @@
         downtime: Downtime,
     ) {
         let mut crashes = self.crashes.subscribe();
+        let listen_addr = listener.local_addr().expect("it is bound");
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
@@ -149,7 +133,7 @@
             if downtime == Downtime::Refusing {
                 drop(listener);
                 tokio::time::sleep(RESTART_TIME).await;
-                listener = TcpListener::bind(self.addr).await.expect("the port is still free");
+                listener = TcpListener::bind(listen_addr).await.expect("the port is still free");
             } else {
                 tokio::time::sleep(RESTART_TIME).await;
             }
--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -137,25 +137,17 @@
 
 impl EdgeBed {
     /// Starts `shards` groups of `replicas` leafs each and `daemons` daemon processes, and waits
-    /// until all daemons are ready.
+    /// until all daemons are ready. Fault-injecting proxies are in front of the leafs.
     pub async fn start(shards: usize, replicas: usize, daemons: usize) -> Self {
         let network = Network::default();
         let store = Store::start(&network).await;
-        let mut leafs = Vec::new();
-        for shard in 0..shards {
-            for replica in 0..replicas {
-                let (instance, group) = (format!("i-{shard}-{replica}"), format!("shard{shard}"));
-                let leaf = Leaf::start(&instance, &group, &network).await;
-                store.put_leaf(&leaf, "ready", 1);
-                leafs.push(leaf);
-            }
-        }
+        let leafs = start_leafs(shards, replicas, Some(&network), &store, Downtime::Refusing).await;
         Self::start_daemons(network, store, leafs, shards, daemons).await
     }
 
-    /// Starts a test bed whose leafs crash when they run a request with [`CRASHING_PATH`] in its
-    /// path.
-    pub async fn start_with_crashing_leafs(
+    /// Starts a test bed like [`EdgeBed::start`] without proxies in front of the leafs, so that
+    /// these can refuse connections after a crash.
+    pub async fn start_without_leaf_proxies(
         shards: usize,
         replicas: usize,
         daemons: usize,
@@ -163,12 +155,7 @@
     ) -> Self {
         let network = Network::default();
         let store = Store::start(&network).await;
-        let mut leafs = Vec::new();
-        for (shard, replica) in (0..shards).flat_map(|s| (0..replicas).map(move |r| (s, r))) {
-            let (instance, group) = (format!("i-{shard}-{replica}"), format!("shard{shard}"));
-            let leaf = Leaf::start_crashing(&instance, &group, store.clone(), downtime).await;
-            leafs.push(leaf);
-        }
+        let leafs = start_leafs(shards, replicas, None, &store, downtime).await;
         Self::start_daemons(network, store, leafs, shards, daemons).await
     }
 
@@ -211,6 +198,21 @@
     }
 }
 
+async fn start_leafs(
+    shards: usize,
+    replicas: usize,
+    network: Option<&Network>,
+    store: &Arc<Store>,
+    downtime: Downtime,
+) -> Vec<Arc<Leaf>> {
+    let mut leafs = Vec::new();
+    for (shard, replica) in (0..shards).flat_map(|s| (0..replicas).map(move |r| (s, r))) {
+        let (instance, group) = (format!("i-{shard}-{replica}"), format!("shard{shard}"));
+        leafs.push(Leaf::start(&instance, &group, network, store.clone(), downtime).await);
+    }
+    leafs
+}
+
 /// Returns how often these leafs started to run the request with this id.
 pub fn runs(leafs: &[Arc<Leaf>], id: &str) -> usize {
     leafs.iter().map(|leaf| leaf.runs(id)).sum()
--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use jasmineusher_bench::proxy::Fault;
@@ -19,8 +20,11 @@
 use rand::seq::IndexedRandom;
 use testutils::eventually;
 
+use crate::crashing_requests::CONTACT_TIME;
+use crate::crashing_requests::MAX_LATE_RUNS;
 use crate::edge_bed::Answer;
 use crate::edge_bed::Behaviour;
+use crate::edge_bed::CRASHING_PATH;
 use crate::edge_bed::Caller;
 use crate::edge_bed::EdgeBed;
 use crate::edge_bed::Leaf;
@@ -37,6 +41,8 @@
 /// Pause between two faults.
 const STEP: Duration = Duration::from_millis(350);
 const CALLERS: usize = 4;
+/// Time between two attempts of the crashing request.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(600);
 
 const BEHAVIOURS: [Behaviour; 9] = [
     Behaviour::Normal,
@@ -178,6 +184,50 @@
     }
 }
 
+/// Path of the request that crashes each leaf which runs it.
+fn crashing_path() -> String {
+    format!("/all{CRASHING_PATH}")
+}
+
+/// Sends a crashing request to the daemons in turn until `tally.stopped` is set. Its answers are not
+/// of interest.
+async fn run_crashing_caller(daemons: Vec<SocketAddr>, tally: Arc<Tally>) {
+    for number in 0.. {
+        if tally.stopped.load(Ordering::Relaxed) {
+            return;
+        }
+        let addr = daemons[number % daemons.len()];
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(addr).await?;
+            caller.get(&crashing_path(), &format!("crash{number}")).await
+        });
+        tokio::time::sleep(CRASHING_INTERVAL).await;
+    }
+}
+
+/// Sends the crashing request for long enough after the end of all faults that every daemon must
+/// refuse it, and checks how many of the attempts after that run.
+async fn check_crashing_request(bed: &EdgeBed, seed: u64) {
+    let started = Instant::now();
+    let mut late_ids = Vec::new();
+    for (number, daemon) in bed.daemons.iter().cycle().enumerate() {
+        let id = format!("end{number}");
+        if let Some(mut caller) = Caller::connect(daemon.callers).await {
+            // Only the runs that the leafs recorded are of interest.
+            let _ = caller.get(&crashing_path(), &id).await;
+        }
+        if started.elapsed() > CONTACT_TIME {
+            late_ids.push(id);
+        }
+        if late_ids.len() == 4 * DAEMONS {
+            break;
+        }
+        tokio::time::sleep(CRASHING_INTERVAL / 4).await;
+    }
+    let late = late_ids.iter().filter(|id| bed.runs(id) > 0).count();
+    assert!(late <= MAX_LATE_RUNS, "seed {seed}: the crashing request ran in {late} late attempts");
+}
+
 /// Injects or ends one random fault and returns its description. Daemon 0 is never restarted or
 /// paused, so that some callers are always served.
 async fn inject_fault(
@@ -258,6 +308,8 @@
             tokio::spawn(run_caller(addr, bed.leafs.clone(), tally.clone(), losses, seed))
         })
         .collect();
+    let addrs = bed.daemons.iter().map(|daemon| daemon.callers).collect();
+    let crashing_caller = tokio::spawn(run_crashing_caller(addrs, tally.clone()));
     let mut version = 1;
     // Daemon 0 is never restarted, so the version of its configuration may only rise.
     let mut last_version = 0;
@@ -285,7 +337,9 @@
         })
         .await;
     }
+    check_crashing_request(&bed, seed).await;
     tally.stopped.store(true, Ordering::Relaxed);
+    crashing_caller.await.expect("the caller ends when it is stopped");
     for caller in callers {
         caller.await.expect("no check failed");
     }
@@ -310,8 +364,9 @@
 
 /// Under any mix of faults of leafs, daemons, store and network, an unsafe request must run at most
 /// once, and must not have run if its status guarantees that; a merged answer must match its
-/// signatures; a request that a leaf has run must be answered unless its daemon is killed; and the
-/// version of the configuration must never decrease.
+/// signatures; a request that a leaf has run must be answered unless its daemon is killed; the
+/// version of the configuration must never decrease; and a request that crashes leafs must stop
+/// reaching them.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_breaks_a_guarantee_under_random_faults() {
     let (seeds, steps) = seeds_and_steps();
