crash_detector: calls written after a leaf was found lost are no evidence

Cause: hosts go on calling a leaf on open connections after they found it lost, and each further refused or unanswered connection blamed the requests of these calls too.

Now a call counts only if it was written before the leaf was first found lost; a leaf that accepts a connection is not lost any more.

Evidence: call_written_after_its_leaf_was_found_lost_is_no_crash fails without the change.

--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -97,17 +97,27 @@
     }
 
     /// Records that an incarnation of a leaf was found lost. Returns the crash of each request with
-    /// an unanswered call to it; several calls of one request count once.
+    /// an unanswered call to it; several calls of one request count once. A call that was written
+    /// after the leaf had been found lost cannot have crashed it.
     pub fn record_lost_leaf(&mut self, leaf: LeafKey, now: Instant) -> Vec<Crash> {
         self.expire(now);
+        let known_lost_at = self.lost.get(&leaf).copied();
         if self.lost.len() < MAX_RECORDS {
-            self.lost.insert(leaf, now);
+            self.lost.entry(leaf).or_insert(now);
         }
         let is_lost = |tracked: &TrackedCall| tracked.call.leaf == leaf;
         let (lost, others) = self.calls.drain(..).partition(is_lost);
         self.calls = others;
         let lost: Vec<TrackedCall> = lost;
-        lost.iter().map(|tracked| crash(&tracked.call)).collect()
+        let calls = lost.iter().map(|tracked| &tracked.call);
+        let may_have_crashed =
+            |call: &&UnansweredCall| known_lost_at.is_none_or(|lost_at| call.started_at <= lost_at);
+        calls.filter(may_have_crashed).map(crash).collect()
+    }
+
+    /// Records that a leaf accepted a connection, so that it is not lost any more.
+    pub fn record_connected(&mut self, leaf: LeafKey) {
+        self.lost.remove(&leaf);
     }
 
     /// Records that a leaf ran the request and answered, which clears its unanswered calls.
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -31,6 +31,7 @@
     match result {
         Ok(OpenedConnection { conn, connect_time }) => {
             tier.zone_rtts.lock().unwrap().record(&leaf.host.zone, connect_time);
+            tier.crash_detector.lock().unwrap().record_connected(leaf.key);
             Ok(conn)
         }
         Err(e) => {
@@ -58,8 +59,13 @@
 pub(crate) async fn check_leaf(tier: &Tier, leaf: &Leaf) -> Result<(), BackendError> {
     tier.counters.leaf_checks.increment();
     let result = tier.backend.connect(leaf.host.addr, CONNECT_TIMEOUT).await;
-    if let Some(cause) = result.as_ref().err().and_then(loss_cause) {
-        tier.record_lost_leaf(leaf.key, cause, Instant::now());
+    match &result {
+        Ok(_) => tier.crash_detector.lock().unwrap().record_connected(leaf.key),
+        Err(e) => {
+            if let Some(cause) = loss_cause(e) {
+                tier.record_lost_leaf(leaf.key, cause, Instant::now());
+            }
+        }
     }
     result.map(drop)
 }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -102,6 +102,22 @@
     assert_eq!(after_restart, None, "the call was written after the loss");
 }
 
+/// Hosts go on calling a leaf on open connections for a while after they found it lost. The requests
+/// of these calls did not crash it.
+#[test]
+fn call_written_after_its_leaf_was_found_lost_is_no_crash() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.record_lost_leaf(LeafKey(4), now);
+    let later = now + SECOND;
+    detector.record_unanswered(call(4, later), LeafCheck::Connect, later);
+    assert_eq!(detector.record_lost_leaf(LeafKey(4), later + SECOND), []);
+    detector.record_connected(LeafKey(4));
+    detector.record_unanswered(call(4, later), LeafCheck::Connect, later);
+    let crashes = detector.record_lost_leaf(LeafKey(4), later + SECOND);
+    assert_eq!(crashes, [crash(4)], "the leaf was back before the call");
+}
+
 /// Several calls of one request run on a leaf when it is lost. That is one crash.
 #[test]
 fn one_lost_leaf_with_three_calls_of_a_request_is_one_crash() {
