suspect_link: bound the announcements of a large outage

An outage of many leafs makes many requests suspected in the same second, and all of them were sent at once, without a bound, to six hosts by each host. An announcement now holds at most 32 requests, those with the most crashes first, every 0.1 s.

Evidence: requests_with_the_most_crashes_are_announced_first.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -414,13 +414,23 @@
         }
     }
 
-    /// Returns the reports of the requests whose record has changed since the last call of this
-    /// method.
-    pub fn take_news(&mut self, now: Instant) -> Vec<SuspectReport> {
-        let news = std::mem::take(&mut self.news);
+    /// Returns the reports of up to `max` requests whose record has changed and that this method has
+    /// not returned since. Those with the most crashes are first.
+    pub fn take_news(&mut self, max: usize, now: Instant) -> Vec<SuspectReport> {
+        self.news.retain(|fingerprint| self.records.contains_key(fingerprint));
+        let crashes = |f: &Fingerprint| self.records.get(f).map_or(0, |r| r.crashes.len());
+        let mut news: Vec<_> = self.news.iter().copied().collect();
+        news.sort_unstable_by_key(|f| (std::cmp::Reverse(crashes(f)), *f));
+        news.truncate(max);
+        news.iter().for_each(|fingerprint| _ = self.news.remove(fingerprint));
         news.iter().filter_map(|&f| Some(report(f, self.records.get(&f)?, now))).collect()
     }
 
+    /// Returns whether there are changes that [`Quarantine::take_news`] has not returned.
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     /// Returns a report of each record that has not expired, to be sent to other hosts. The last
     /// changed records are first.
     pub fn reports(&self, now: Instant) -> Vec<SuspectReport> {
--- a/lib/src/suspect_link.rs
+++ b/lib/src/suspect_link.rs
@@ -27,6 +27,11 @@
 const FAN_OUT: usize = 6;
 /// Time for which news are collected before they are sent.
 const COLLECTION_TIME: Duration = Duration::from_millis(10);
+/// Largest number of requests in one announcement, so that a large outage, which makes many requests
+/// suspected, does not fill the hosts' links.
+const MAX_ANNOUNCED: usize = 32;
+/// Pause between two announcements while there are more news than fit into one.
+const ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of one announcement.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -56,13 +61,26 @@
         loop {
             self.tier.suspects_changed.notified().await;
             tokio::time::sleep(COLLECTION_TIME).await;
-            let suspects = self.tier.quarantine.lock().unwrap().take_news(Instant::now());
-            if !suspects.is_empty() {
-                self.announce(Arc::new(Announcement { suspects }));
+            loop {
+                let (suspects, has_more) = self.take_news();
+                if !suspects.is_empty() {
+                    self.announce(Arc::new(Announcement { suspects }));
+                }
+                if !has_more {
+                    break;
+                }
+                tokio::time::sleep(ANNOUNCEMENT_PAUSE).await;
             }
         }
     }
 
+    /// Returns the news of one announcement and whether there are more.
+    fn take_news(&self) -> (Vec<SuspectReport>, bool) {
+        let mut quarantine = self.tier.quarantine.lock().unwrap();
+        let suspects = quarantine.take_news(MAX_ANNOUNCED, Instant::now());
+        (suspects, quarantine.has_news())
+    }
+
     fn announce(self: &Arc<Self>, announcement: Arc<Announcement>) {
         let peers = self.cluster_state.fleet.lock().unwrap().sample(&mut rand::rng(), FAN_OUT);
         for peer in peers {
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -358,7 +358,7 @@
         for round in 0.. {
             let mut messages = Vec::new();
             for (_, fleet, quarantine) in &mut self.hosts {
-                let news = quarantine.take_news(now);
+                let news = quarantine.take_news(32, now);
                 if !news.is_empty() {
                     let peers = fleet.sample(&mut self.rng, fan_out);
                     messages.extend(peers.into_iter().map(|peer| (peer, news.clone())));
@@ -379,6 +379,23 @@
     }
 }
 
+/// A large outage makes many requests suspected at once.
+#[test]
+fn requests_with_the_most_crashes_are_announced_first() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(BLOCKING_CRASHES);
+    for request in 0..100 {
+        for leaf in 0..=u64::from(request == 70) {
+            let fingerprint = Fingerprint(request);
+            quarantine.record_crash(Crash { fingerprint, ..crash(leaf) }, now);
+        }
+    }
+    let first = quarantine.take_news(32, now);
+    assert_eq!((first.len(), first[0].fingerprint), (32, Fingerprint(70)));
+    let rest: Vec<_> = (0..3).flat_map(|_| quarantine.take_news(32, now)).collect();
+    assert_eq!((rest.len(), quarantine.has_news()), (68, false));
+}
+
 /// Exchanges every 2 s alone need several rounds, in which the request goes on crashing leafs.
 #[test]
 fn announced_crashes_reach_nearly_all_of_84_hosts_within_few_hops() {
