quarantine: reports stay readable for the version before

docs/PROTOCOL.md promises that fields of messages between daemons are only ever added. The two fields are back, further ones have defaults, and a report without crashes counts as one of a leaf that is not known.

Evidence: report_of_the_version_before_suspects_or_blocks_and_is_read_by_it. Messages on the users' platform carry no such promise.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -113,19 +113,46 @@
 pub struct SuspectReport {
     /// Identifies the request.
     pub fingerprint: Fingerprint,
+    /// Whether the request is blocked, not only suspected. Only hosts of versions that do not know
+    /// `crashes` read it.
+    pub condemned: bool,
+    /// Time for which the request stays blocked or suspected, in milliseconds. Only hosts of
+    /// versions that do not know `crashes` read it.
+    pub remaining_ms: u64,
     /// Crashes since the request was last answered.
+    #[serde(default)]
     pub crashes: Vec<CrashReport>,
     /// Time since the request was last answered while it was suspected, in milliseconds on the
     /// wire; absent if it was not.
+    #[serde(default)]
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub answered_age: Option<Duration>,
     /// Number of probes since then.
+    #[serde(default)]
     pub probes: u32,
     /// Time for which no further probe may start, in milliseconds on the wire.
+    #[serde(default)]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub probe_remaining: Duration,
 }
 
+impl SuspectReport {
+    /// Returns the crashes. A host of a version that does not report them knows that the request
+    /// crashed a leaf, or also one by a probe, but not which; two hashes stand for these leafs.
+    fn known_crashes(&self) -> Vec<CrashReport> {
+        let is_complete = !self.crashes.is_empty() || self.answered_age.is_some();
+        if is_complete || self.remaining_ms == 0 {
+            return self.crashes.clone();
+        }
+        let unknown = |hash, was_probe| {
+            let (leaf, age) = (LeafHash(hash), Duration::ZERO);
+            CrashReport { leaf, was_probe, age }
+        };
+        let probe = self.condemned.then(|| unknown(1, true));
+        [unknown(0, false)].into_iter().chain(probe).collect()
+    }
+}
+
 /// State of a request after a crash or a report was recorded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Change {
@@ -350,7 +377,7 @@
         self.update(report.fingerprint, now, |record| {
             let mut is_new = answered_at.is_some_and(|at| record.add_answer(at));
             record.probes = record.probes.max(report.probes);
-            for CrashReport { leaf, was_probe, age } in report.crashes.iter().copied() {
+            for CrashReport { leaf, was_probe, age } in report.known_crashes() {
                 let Some(at) = now.checked_sub(age) else { continue };
                 is_new |= record.add_crash(RecordedCrash { leaf, was_probe, at });
             }
@@ -423,7 +450,8 @@
         news.sort_unstable_by_key(|f| (std::cmp::Reverse(crashes(f)), *f));
         news.truncate(max);
         news.iter().for_each(|fingerprint| _ = self.news.remove(fingerprint));
-        news.iter().filter_map(|&f| Some(report(f, self.records.get(&f)?, now))).collect()
+        let record = |f: &Fingerprint| Some((*f, self.records.get(f)?));
+        self.describe(news.iter().filter_map(record), now)
     }
 
     /// Returns whether there are changes that [`Quarantine::take_news`] has not returned.
@@ -441,7 +469,15 @@
         };
         let mut live: Vec<_> = self.records.iter().filter(|(_, record)| is_live(record)).collect();
         live.sort_by_key(|(f, record)| (std::cmp::Reverse(last_change(record)), **f));
-        live.into_iter().map(|(&fingerprint, record)| report(fingerprint, record, now)).collect()
+        self.describe(live.into_iter().map(|(&fingerprint, record)| (fingerprint, record)), now)
+    }
+
+    fn describe<'a>(
+        &self,
+        records: impl Iterator<Item = (Fingerprint, &'a Record)>,
+        now: Instant,
+    ) -> Vec<SuspectReport> {
+        records.map(|(f, record)| report(f, record, self.blocking_crashes, now)).collect()
     }
 
     /// Returns whether a request is suspected or blocked.
@@ -451,15 +487,26 @@
     }
 }
 
-fn report(fingerprint: Fingerprint, record: &Record, now: Instant) -> SuspectReport {
+fn report(
+    fingerprint: Fingerprint,
+    record: &Record,
+    blocking_crashes: usize,
+    now: Instant,
+) -> SuspectReport {
     let age = |at: Instant| now.saturating_duration_since(at);
     let crashes = record.crashes.iter().map(|crash| CrashReport {
         leaf: crash.leaf,
         was_probe: crash.was_probe,
         age: age(crash.at),
     });
+    let condemned = record.suspicion(blocking_crashes, now) == Suspicion::Blocked;
+    let blocked_until = record.blocked_until(blocking_crashes);
+    let until = blocked_until.map(|at| if condemned { at } else { at + SUSPECT_TIME });
+    let remaining = until.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
     SuspectReport {
         fingerprint,
+        condemned,
+        remaining_ms: remaining.as_millis() as u64,
         crashes: crashes.collect(),
         answered_age: record.answered_at.map(age),
         probes: record.probes,
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -19,6 +19,7 @@
 use jasmineusher_lib::quarantine::Decision;
 use jasmineusher_lib::quarantine::Fingerprint;
 use jasmineusher_lib::quarantine::Quarantine;
+use jasmineusher_lib::quarantine::SuspectReport;
 use proptest::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -280,6 +281,25 @@
     assert_eq!(quarantine.decide(REQUEST, much_later), Decision::Run);
 }
 
+/// Hosts of the own interface are restarted one by one with a new version, and exchange reports with
+/// those of the version before, which have fewer fields.
+#[test]
+fn report_of_the_version_before_suspects_or_blocks_and_is_read_by_it() {
+    let now = Instant::now();
+    for (condemned, expected) in [(false, Suspicion::Suspected), (true, Suspicion::Blocked)] {
+        let earlier = serde_json::json!({
+            "fingerprint": 1, "condemned": condemned, "remaining_ms": 5_000
+        });
+        let earlier: SuspectReport = serde_json::from_value(earlier).expect("the report is read");
+        let mut quarantine = Quarantine::default();
+        quarantine.merge(&earlier, now);
+        assert_eq!(quarantine.suspicion(REQUEST, now), expected);
+        let sent = serde_json::to_value(&quarantine.reports(now)[0]).expect("a report serialises");
+        assert_eq!(sent["condemned"], condemned);
+        assert!(sent["remaining_ms"].as_u64() > Some(50_000));
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum TestEvent {
     Crash(u64, bool),
