tests: leafs lost together block no request

Three quarters of the leafs are lost at once while 200 different requests run, each of which its caller sends again. No request may be refused as crashing.

--- a/cli/tests/test_edge/crashing_requests.rs
+++ b/cli/tests/test_edge/crashing_requests.rs
@@ -126,3 +126,51 @@
     let bed = EdgeBed::start_without_leaf_proxies(4, replicas, hosts, Downtime::Silent).await;
     check_crashing_request(&bed, "all", Duration::from_millis(400)).await;
 }
+
+/// Sends a request, and sends it again if it fails. Returns whether any attempt was refused as
+/// crashing.
+async fn is_refused_as_crashing(daemons: Vec<SocketAddr>, path: String, id: String) -> bool {
+    for attempt in 0..3 {
+        let daemon = daemons[attempt % daemons.len()];
+        let Some(mut caller) = Caller::connect(daemon).await else { continue };
+        let Some(answer) = caller.get(&path, &format!("{id}-{attempt}")).await else { continue };
+        if answer.status == 200 {
+            return false;
+        }
+        if String::from_utf8_lossy(&answer.body).contains(REFUSAL) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    false
+}
+
+/// Loses three quarters of the leafs at once, as a rack or a zone does, with the requests that run
+/// on them. None of these requests is to blame, and their callers send them again.
+async fn check_leafs_lost_together(downtime: Downtime) {
+    let bed = EdgeBed::start_without_leaf_proxies(4, 4, 3, downtime).await;
+    let mut daemons: Vec<_> = bed.daemons.iter().map(|daemon| daemon.callers).collect();
+    let mut requests = JoinSet::new();
+    for number in 0..200 {
+        if number == 50 {
+            bed.leafs.iter().filter(|leaf| !leaf.instance.ends_with("-0")).for_each(|l| l.crash());
+        }
+        let route = ["one", "all"][number % 2];
+        daemons.rotate_left(1);
+        let path = format!("/{route}/{number}");
+        requests.spawn(is_refused_as_crashing(daemons.clone(), path, format!("r{number}")));
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    let refused = requests.join_all().await.into_iter().filter(|refused| *refused).count();
+    assert_eq!(refused, 0, "requests that ran on lost leafs were refused as crashing");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leafs_that_fall_silent_together_block_no_request() {
+    check_leafs_lost_together(Downtime::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leafs_that_refuse_connections_together_block_no_request() {
+    check_leafs_lost_together(Downtime::Refusing).await;
+}
--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -153,6 +153,11 @@
         reset_on_close(&stream);
     }
 
+    /// Makes the leaf crash, whatever it is running.
+    pub fn crash(&self) {
+        self.crashes.send_modify(|crashes| crashes.push(Instant::now()));
+    }
+
     /// Returns the time of each crash of this leaf.
     pub fn crashes(&self) -> Vec<Instant> {
         self.crashes.borrow().clone()
@@ -203,7 +208,7 @@
                 *self.runs.lock().unwrap().entry(head.id.clone()).or_default() += 1;
             }
             if head.path.contains(CRASHING_PATH) {
-                self.crashes.send_modify(|crashes| crashes.push(Instant::now()));
+                self.crash();
                 // The connection is closed, or falls silent, where the crash is observed.
                 return std::future::pending().await;
             }
