--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -14,12 +14,12 @@
 
 use crate::catalogue::Class;
 use crate::catalogue::Entry;
+use crate::fingerprint::Fingerprint;
 use crate::latency::LatencyTracker;
 use crate::leaf_codec::LeafCodec;
 use crate::leaf_protocol::CallId;
 use crate::leaf_protocol::LeafReply;
 use crate::plan::CallLoss;
-use crate::quarantine::Fingerprint;
 use crate::search_codec::SearchCodec;
 use crate::tier::EntryState;
 use crate::tier::Tier;
--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::fingerprint::Fingerprint;
 use crate::ids::LeafHash;
 use crate::ids::LeafKey;
 use crate::quarantine::Crash;
-use crate::quarantine::Fingerprint;
 
 /// Time after the end of an unanswered call within which the loss of its leaf is attributed to it.
 /// It covers the restart of a leaf, the publication of its new entry, and an entry that expires.
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -28,10 +28,10 @@
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::metrics::Metrics;
-use crate::quarantine::SuspectReport;
 use crate::socket;
 use crate::suspect_link::SUSPECTS_PATH;
 use crate::suspect_link::SuspectLink;
+use crate::suspect_report::SuspectReport;
 use crate::tier::Tier;
 
 /// Path that returns the metrics in the exposition format of Prometheus.
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -39,8 +39,8 @@
 use crate::peer_protocol::ShareRequest;
 use crate::peer_protocol::decode;
 use crate::peer_protocol::encode;
-use crate::quarantine::SuspectReport;
 use crate::shares::LoanRequest;
+use crate::suspect_report::SuspectReport;
 
 /// Timeout of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -29,8 +29,8 @@
 use crate::http_client::HttpClientError;
 use crate::ids::Revision;
 use crate::log_event;
-use crate::quarantine::SuspectReport;
 use crate::subscription::ChangeSource;
+use crate::suspect_report::SuspectReport;
 use crate::tier::Tier;
 
 /// HTTP path of an exchange of [`ExchangeMessage`]s.
--- a/lib/src/opaque.rs
+++ b/lib/src/opaque.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use crate::quarantine::Fingerprint;
+use crate::fingerprint::Fingerprint;
 
 /// Request of a caller, as it is sent to the leafs.
 #[derive(Clone, Debug)]
--- a/lib/src/peer_protocol.rs
+++ b/lib/src/peer_protocol.rs
@@ -26,8 +26,8 @@
 use crate::lifecycle::Phase;
 use crate::patch::Patch;
 use crate::patch::serde_bytes_vec;
-use crate::quarantine::SuspectReport;
 use crate::signature::KeyRing;
+use crate::suspect_report::SuspectReport;
 
 /// Version of the messages; messages of other versions are refused.
 pub const PROTOCOL_VERSION: u32 = 1;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -7,81 +7,30 @@
 //!
 //! All requests that ran on a lost leaf are suspected, of which at most one is to blame. An answer
 //! clears a request of its earlier crashes and protects it for a short time, as a poison request
-//! crashes each leaf that runs it. A suspected request runs as a probe, a single call, and a crash by a probe is needed to block it:
-//! leafs that are lost together would otherwise block every request that ran on several of them.
+//! crashes each leaf that runs it. A suspected request runs as a probe, a single call, and a crash
+//! by a probe is needed to block it: leafs that are lost together would otherwise block every
+//! request that ran on several of them.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
-use serde_with::DurationMilliSeconds;
-use serde_with::serde_as;
-use xxhash_rust::xxh3::Xxh3;
-
-use crate::ids::EntryName;
+use crate::fingerprint::Fingerprint;
 use crate::ids::LeafHash;
 use crate::plan::Suspicion;
+use crate::suspect_record::ANSWER_VALIDITY;
+use crate::suspect_record::RecordedCrash;
+use crate::suspect_record::SuspectRecord;
+use crate::suspect_report::SuspectReport;
 
-/// Time after a crash, or after the end of a block, for which a request stays suspected.
-const SUSPECT_TIME: Duration = Duration::from_secs(60);
-/// Time for which a request is refused when it is first blocked; doubled with each further probe
-/// that crashes a leaf.
-const FIRST_BLOCK_TIME: Duration = Duration::from_secs(120);
-/// Longest time for which a blocked request is refused.
-const MAX_BLOCK_TIME: Duration = Duration::from_secs(3_600);
-/// Time after an answer in which a request is not suspected. It is short, as a request may begin to
-/// crash leafs, for example those of a new release.
-const ANSWER_VALIDITY: Duration = Duration::from_secs(3);
-/// Time after the start of a probe until the next one may start if there is no answer; doubled with
-/// each further probe.
-const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(300);
-/// Longest time between two probes.
-const MAX_PROBE_PAUSE: Duration = Duration::from_secs(10);
 /// Largest number of records. When it is reached, the record that expires first is evicted.
 const MAX_RECORDS: usize = 10_000;
 /// Largest number of answered requests that are remembered in each period of [`ANSWER_VALIDITY`].
 const MAX_ANSWERED: usize = 16_384;
-/// Largest number of crashes kept of one request.
-const MAX_CRASHES: usize = 16;
 /// Number of crashes that block a request by default.
 const DEFAULT_BLOCKING_CRASHES: usize = 2;
 
-/// Hash that identifies a request by its entry and parameters.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Fingerprint(pub u64);
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-impl Fingerprint {
-    /// Computes the fingerprint of a request for a catalogue entry.
-    pub fn of(entry: &EntryName, params: &str) -> Self {
-        let mut hasher = Xxh3::new();
-        hasher.update(entry.as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(params.as_bytes());
-        Self(hasher.digest())
-    }
-
-    /// Computes the fingerprint of a request from its fields. Their order and the bounds between
-    /// them change the fingerprint.
-    pub fn of_fields(fields: &[&[u8]]) -> Self {
-        let mut hasher = Xxh3::new();
-        for field in fields {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        Self(hasher.digest())
-    }
-}
-
 /// Loss of a leaf while a request ran on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Crash {
@@ -93,66 +42,6 @@
     pub was_probe: bool,
 }
 
-/// A crash, as sent to other hosts.
-#[serde_as]
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CrashReport {
-    /// The lost incarnation of the leaf.
-    pub leaf: LeafHash,
-    /// Whether the lost call was a probe.
-    pub was_probe: bool,
-    /// Time since the crash was detected, in milliseconds on the wire.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-}
-
-/// A host's record of one request, as sent to other hosts. Holds ages and remaining times, not
-/// points in time, since the hosts' clocks differ.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SuspectReport {
-    /// Identifies the request.
-    pub fingerprint: Fingerprint,
-    /// Whether the request is blocked, not only suspected. Only hosts of versions that do not know
-    /// `crashes` read it.
-    pub condemned: bool,
-    /// Time for which the request stays blocked or suspected, in milliseconds. Only hosts of
-    /// versions that do not know `crashes` read it.
-    pub remaining_ms: u64,
-    /// Crashes since the request was last answered.
-    #[serde(default)]
-    pub crashes: Vec<CrashReport>,
-    /// Time since the request was last answered while it was suspected, in milliseconds on the
-    /// wire; absent if it was not.
-    #[serde(default)]
-    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
-    pub answered_age: Option<Duration>,
-    /// Number of probes since then.
-    #[serde(default)]
-    pub probes: u32,
-    /// Time for which no further probe may start, in milliseconds on the wire.
-    #[serde(default)]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub probe_remaining: Duration,
-}
-
-impl SuspectReport {
-    /// Returns the crashes. A host of a version that does not report them knows that the request
-    /// crashed a leaf, or also one by a probe, but not which; two hashes stand for these leafs.
-    fn known_crashes(&self) -> Vec<CrashReport> {
-        let is_complete = !self.crashes.is_empty() || self.answered_age.is_some();
-        if is_complete || self.remaining_ms == 0 {
-            return self.crashes.clone();
-        }
-        let unknown = |hash, was_probe| {
-            let (leaf, age) = (LeafHash(hash), Duration::ZERO);
-            CrashReport { leaf, was_probe, age }
-        };
-        let probe = self.condemned.then(|| unknown(1, true));
-        [unknown(0, false)].into_iter().chain(probe).collect()
-    }
-}
-
 /// State of a request after a crash or a report was recorded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Change {
@@ -177,95 +66,6 @@
     Refuse(Duration),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct RecordedCrash {
-    leaf: LeafHash,
-    was_probe: bool,
-    at: Instant,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// Crashes after the validity of the last answer, of different leafs.
-    crashes: Vec<RecordedCrash>,
-    answered_at: Option<Instant>,
-    /// Number of probes since the last answer.
-    probes: u32,
-    /// Time until which no further probe may start; absent if none was started.
-    probe_until: Option<Instant>,
-}
-
-impl Record {
-    /// Adds a crash and returns whether it is new. When the record is full, only a probe's crash
-    /// still replaces another, as it decides whether the request is blocked.
-    fn add_crash(&mut self, crash: RecordedCrash) -> bool {
-        if self.answered_at.is_some_and(|answered| crash.at <= answered + ANSWER_VALIDITY) {
-            return false;
-        }
-        if let Some(known) = self.crashes.iter_mut().find(|known| known.leaf == crash.leaf) {
-            let is_stronger = crash.was_probe && !known.was_probe;
-            known.was_probe |= crash.was_probe;
-            known.at = known.at.min(crash.at);
-            return is_stronger;
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            let replaced = self.crashes.iter().position(|known| !known.was_probe);
-            let Some(replaced) = replaced.filter(|_| crash.was_probe) else { return false };
-            self.crashes.remove(replaced);
-        }
-        self.crashes.push(crash);
-        true
-    }
-
-    /// Drops all crashes up to the end of an answer's validity. Returns whether it was the last of
-    /// them that was dropped.
-    fn add_answer(&mut self, at: Instant) -> bool {
-        self.answered_at = self.answered_at.max(Some(at));
-        let count_before = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > at + ANSWER_VALIDITY);
-        let is_cleared = self.crashes.is_empty();
-        if is_cleared {
-            self.probes = 0;
-            self.probe_until = None;
-        }
-        is_cleared && count_before > 0
-    }
-
-    fn start_probe(&mut self, now: Instant) {
-        let pause = FIRST_PROBE_PAUSE.saturating_mul(1 << self.probes.min(10));
-        self.probes += 1;
-        self.probe_until = Some(now + pause.min(MAX_PROBE_PAUSE));
-    }
-
-    /// Returns the time for which the crashes block the request after the latest of them.
-    fn block_time(&self, blocking_crashes: usize) -> Duration {
-        let probes = self.crashes.iter().filter(|crash| crash.was_probe).count() as u32;
-        if probes == 0 || self.crashes.len() < blocking_crashes {
-            return Duration::ZERO;
-        }
-        FIRST_BLOCK_TIME.saturating_mul(1 << (probes - 1)).min(MAX_BLOCK_TIME)
-    }
-
-    fn blocked_until(&self, blocking_crashes: usize) -> Option<Instant> {
-        let latest = self.crashes.iter().map(|crash| crash.at).max()?;
-        Some(latest + self.block_time(blocking_crashes))
-    }
-
-    fn suspicion(&self, blocking_crashes: usize, now: Instant) -> Suspicion {
-        match self.blocked_until(blocking_crashes) {
-            Some(until) if now < until => Suspicion::Blocked,
-            Some(until) if now < until + SUSPECT_TIME => Suspicion::Suspected,
-            _ => Suspicion::Clear,
-        }
-    }
-
-    /// Returns when the record is of no more use.
-    fn expires_at(&self, blocking_crashes: usize) -> Option<Instant> {
-        let last = self.blocked_until(blocking_crashes).max(self.answered_at)?;
-        Some(last + SUSPECT_TIME)
-    }
-}
-
 /// Requests that were answered in the current and in the previous period of [`ANSWER_VALIDITY`].
 #[derive(Debug, Default)]
 struct RecentAnswers {
@@ -296,7 +96,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     blocking_crashes: usize,
-    records: HashMap<Fingerprint, Record>,
+    records: HashMap<Fingerprint, SuspectRecord>,
     recent_answers: RecentAnswers,
     /// Requests whose record has changed since [`Quarantine::take_news`].
     news: HashSet<Fingerprint>,
@@ -330,9 +130,9 @@
                 let until = record.blocked_until(self.blocking_crashes).unwrap_or(now);
                 Decision::Refuse(until - now)
             }
-            Suspicion::Suspected => match record.probe_until {
-                Some(until) if now < until => Decision::Refuse(until - now),
-                _ => {
+            Suspicion::Suspected => match record.probe_until(now) {
+                Some(until) => Decision::Refuse(until - now),
+                None => {
                     record.start_probe(now);
                     self.add_news(fingerprint);
                     Decision::Probe
@@ -344,8 +144,7 @@
     /// Records that the probe started last has not run, so that another may start at once.
     pub fn release_probe(&mut self, fingerprint: Fingerprint) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
-            record.probes = record.probes.saturating_sub(1);
-            record.probe_until = None;
+            record.release_probe();
         }
     }
 
@@ -372,24 +171,7 @@
     /// Merges another host's report. Returns the state of the request if the report contained
     /// anything new.
     pub fn merge(&mut self, report: &SuspectReport, now: Instant) -> Option<Change> {
-        let answered_at = report.answered_age.and_then(|age| now.checked_sub(age));
-        let probe_until = now + report.probe_remaining.min(MAX_BLOCK_TIME);
-        self.update(report.fingerprint, now, |record| {
-            let mut is_new = answered_at.is_some_and(|at| record.add_answer(at));
-            record.probes = record.probes.max(report.probes);
-            for CrashReport { leaf, was_probe, age } in report.known_crashes() {
-                let Some(at) = now.checked_sub(age) else { continue };
-                is_new |= record.add_crash(RecordedCrash { leaf, was_probe, at });
-            }
-            if !report.probe_remaining.is_zero()
-                && !record.crashes.is_empty()
-                && record.probe_until.is_none_or(|at| at <= now)
-            {
-                record.probe_until = Some(probe_until);
-                is_new = true;
-            }
-            is_new
-        })
+        self.update(report.fingerprint, now, |record| record.merge(report, now))
     }
 
     /// Changes a record, which is created if need be. Returns the state of the request if `change`
@@ -398,7 +180,7 @@
         &mut self,
         fingerprint: Fingerprint,
         now: Instant,
-        change: impl FnOnce(&mut Record) -> bool,
+        change: impl FnOnce(&mut SuspectRecord) -> bool,
     ) -> Option<Change> {
         let blocking_crashes = self.blocking_crashes;
         if !self.records.contains_key(&fingerprint) {
@@ -411,7 +193,7 @@
         // Hosts that have not seen the answer still suspect the request.
         is_new |= answered_at.is_some_and(|at| record.add_answer(at));
         let suspicion = record.suspicion(blocking_crashes, now);
-        let crashes = record.crashes.len();
+        let crashes = record.crash_count();
         if record.expires_at(blocking_crashes).is_none_or(|at| at <= now) {
             self.records.remove(&fingerprint);
         }
@@ -445,7 +227,7 @@
     /// not returned since. Those with the most crashes are first.
     pub fn take_news(&mut self, max: usize, now: Instant) -> Vec<SuspectReport> {
         self.news.retain(|fingerprint| self.records.contains_key(fingerprint));
-        let crashes = |f: &Fingerprint| self.records.get(f).map_or(0, |r| r.crashes.len());
+        let crashes = |f: &Fingerprint| self.records.get(f).map_or(0, SuspectRecord::crash_count);
         let mut news: Vec<_> = self.news.iter().copied().collect();
         news.sort_unstable_by_key(|f| (std::cmp::Reverse(crashes(f)), *f));
         news.truncate(max);
@@ -462,22 +244,20 @@
     /// Returns a report of each record that has not expired, to be sent to other hosts. The last
     /// changed records are first.
     pub fn reports(&self, now: Instant) -> Vec<SuspectReport> {
-        let is_live =
-            |record: &Record| record.expires_at(self.blocking_crashes).is_some_and(|at| at > now);
-        let last_change = |record: &Record| {
-            record.crashes.iter().map(|crash| crash.at).max().max(record.answered_at)
+        let is_live = |record: &SuspectRecord| {
+            record.expires_at(self.blocking_crashes).is_some_and(|at| at > now)
         };
         let mut live: Vec<_> = self.records.iter().filter(|(_, record)| is_live(record)).collect();
-        live.sort_by_key(|(f, record)| (std::cmp::Reverse(last_change(record)), **f));
+        live.sort_by_key(|(f, record)| (std::cmp::Reverse(record.changed_at()), **f));
         self.describe(live.into_iter().map(|(&fingerprint, record)| (fingerprint, record)), now)
     }
 
     fn describe<'a>(
         &self,
-        records: impl Iterator<Item = (Fingerprint, &'a Record)>,
+        records: impl Iterator<Item = (Fingerprint, &'a SuspectRecord)>,
         now: Instant,
     ) -> Vec<SuspectReport> {
-        records.map(|(f, record)| report(f, record, self.blocking_crashes, now)).collect()
+        records.map(|(f, record)| record.report(f, self.blocking_crashes, now)).collect()
     }
 
     /// Returns whether a request is suspected or blocked.
@@ -486,32 +266,3 @@
         record.map_or(Suspicion::Clear, |r| r.suspicion(self.blocking_crashes, now))
     }
 }
-
-fn report(
-    fingerprint: Fingerprint,
-    record: &Record,
-    blocking_crashes: usize,
-    now: Instant,
-) -> SuspectReport {
-    let age = |at: Instant| now.saturating_duration_since(at);
-    let crashes = record.crashes.iter().map(|crash| CrashReport {
-        leaf: crash.leaf,
-        was_probe: crash.was_probe,
-        age: age(crash.at),
-    });
-    let condemned = record.suspicion(blocking_crashes, now) == Suspicion::Blocked;
-    let blocked_until = record.blocked_until(blocking_crashes);
-    let until = blocked_until.map(|at| if condemned { at } else { at + SUSPECT_TIME });
-    let remaining = until.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
-    SuspectReport {
-        fingerprint,
-        condemned,
-        remaining_ms: remaining.as_millis() as u64,
-        crashes: crashes.collect(),
-        answered_age: record.answered_at.map(age),
-        probes: record.probes,
-        probe_remaining: record
-            .probe_until
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
-    }
-}
--- a/lib/src/suspect_link.rs
+++ b/lib/src/suspect_link.rs
@@ -16,7 +16,7 @@
 use crate::error_text::with_sources;
 use crate::fleet_link::FleetLink;
 use crate::fleet_link::encode;
-use crate::quarantine::SuspectReport;
+use crate::suspect_report::SuspectReport;
 use crate::tier::Tier;
 
 /// HTTP path to which a host posts its announcements.
--- a/lib/src/ticket.rs
+++ b/lib/src/ticket.rs
@@ -19,9 +19,9 @@
 
 use crate::answer::OutcomeKind;
 use crate::answer::QueryAnswer;
+use crate::fingerprint::Fingerprint;
 use crate::ids::HostName;
 use crate::ids::Incarnation;
-use crate::quarantine::Fingerprint;
 use crate::signature::KeyRing;
 
 /// Time after its issue for which a ticket may be redeemed.
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -33,6 +33,7 @@
 use crate::documents::Result;
 use crate::documents::View;
 use crate::events::Event;
+use crate::fingerprint::Fingerprint;
 use crate::hosts::LeafRegistry;
 use crate::ids::EntryName;
 use crate::ids::HostName;
@@ -52,10 +53,9 @@
 use crate::plan::Suspicion;
 use crate::quarantine::Change;
 use crate::quarantine::Crash;
-use crate::quarantine::Fingerprint;
 use crate::quarantine::Quarantine;
-use crate::quarantine::SuspectReport;
 use crate::relay_link::RelayLinks;
+use crate::suspect_report::SuspectReport;
 use crate::zone_rtt::ZoneRtts;
 
 /// How a leaf was found to be lost.
