suspect_record: the number of probes in a report cannot overflow

Found on reading the change again: a host adds one to the greatest number of probes that any host reported, and a message with the greatest number of all would have ended a debug build with a panic. The number now saturates; the test failed before with an overflow.

--- a/lib/src/suspect_record.rs
+++ b/lib/src/suspect_record.rs
@@ -87,7 +87,7 @@
 
     pub(crate) fn start_probe(&mut self, now: Instant) {
         let pause = FIRST_PROBE_PAUSE.saturating_mul(1 << self.probes.min(10));
-        self.probes += 1;
+        self.probes = self.probes.saturating_add(1);
         self.probe_until = Some(now + pause.min(MAX_PROBE_PAUSE));
     }
 
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -260,6 +260,19 @@
     assert_eq!(hosts[0].suspicion(REQUEST, now), Suspicion::Blocked, "a weaker report lifts none");
 }
 
+/// A message may hold any number, as it is not checked on the users' platform.
+#[test]
+fn report_with_the_greatest_number_of_probes_does_not_overflow() {
+    let now = Instant::now();
+    let mut hosts = hosts(2);
+    hosts[0].record_crash(crash(0), now);
+    let mut report = hosts[0].reports(now).remove(0);
+    report.probes = u32::MAX;
+    hosts[1].merge(&report, now);
+    assert_eq!(hosts[1].decide(REQUEST, now), Decision::Probe);
+    assert_eq!(hosts[1].decide(REQUEST, now), Decision::Refuse(10 * SECOND));
+}
+
 /// If a request ran like any other after its block, it would crash a leaf of each shard again.
 #[test]
 fn request_is_probed_after_its_block_and_a_further_block_lasts_twice_as_long() {
