call: check the leaf of a lost probe on a new connection too

A broken new connection usually means that the leaf is at its connection limit, and its leaf is not connected to again. One check more for a probe costs one connection. Found on reading; no test of its own, the cases of crashing_requests.rs pass as before.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -230,7 +230,7 @@
                     Some(_) => CallLoss::Broken,
                 };
                 if loss != CallLoss::NotSent {
-                    let may_check = !e.shows_connection_overflow();
+                    let may_check = self.send.is_probe || !e.shows_connection_overflow();
                     let check = if may_check { LeafCheck::Connect } else { LeafCheck::None };
                     self.track_unanswered(started, check, now);
                 }
