leaf_limiter: record the rate limit that a leaf names, and log it

Nothing read the limit of requests that a leaf names in its answers, so that neither the log nor the state dump could tell why a leaf got more. No decision uses it yet.

--- a/bench/src/leaf.rs
+++ b/bench/src/leaf.rs
@@ -434,6 +434,7 @@
             status,
             effort_us,
             queued: self.waiting.load(Ordering::Relaxed),
+            limit_per_s: None,
             hits: (0..count).map(hit).collect(),
         }
     }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -190,7 +190,11 @@
         started: Instant,
     ) -> (CallResult<P>, CallEnd) {
         let mut held = HeldConnection { leaf: &self.leaf, conn: Some(conn) };
-        self.leaf.state().estimates.record_call_start(self.send.call, started);
+        {
+            let mut state = self.leaf.state();
+            state.estimates.record_call_start(self.send.call, started);
+            state.limiter.record_sent(self.send.purpose);
+        }
         let outgoing = self.outgoing(started);
         let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
         let now = Instant::now();
@@ -203,6 +207,7 @@
                     if !reply.status.proves_not_run() {
                         self.record_run(now);
                     }
+                    self.record_named_limit(&reply, now);
                     let call_end = self.record_reply(&reply, elapsed, now);
                     let run_time = || (!reply.status.proves_not_run()).then_some(elapsed);
                     let estimate = run_time().map(|time| time.as_micros() as u64);
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -28,6 +28,7 @@
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::metrics::Metrics;
+use crate::rate_limit::RequestRate;
 use crate::socket;
 use crate::suspect_link::SUSPECTS_PATH;
 use crate::suspect_link::SuspectLink;
@@ -89,6 +90,9 @@
     connections: u32,
     losses: u64,
     sheds: u64,
+    limit_per_s: Option<RequestRate>,
+    sent: u64,
+    repeated: u64,
 }
 
 impl EdgeControl {
@@ -149,6 +153,9 @@
                 connections: leaf.pool.open_count(),
                 losses: state.estimates.losses(),
                 sheds: state.estimates.sheds(),
+                limit_per_s: state.limiter.limit(),
+                sent: state.limiter.sent().all,
+                repeated: state.limiter.sent().repeated,
             }
         });
         let platform_silence = self.cluster_state.outage.lock().unwrap().time_since_answer(now);
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -91,6 +91,13 @@
     LeafCrashed = 309,
     /// A suspected or blocked request was answered by a leaf and runs like any other again.
     RequestCleared = 310,
+    /// A leaf names how many requests a second it takes from all hosts together, or changes it by
+    /// more than a tenth; the fields `sent` and `repeated` count this host's calls to it so far.
+    LeafLimitNamed = 311,
+    /// A leaf no longer names a limit of requests.
+    LeafLimitEnded = 312,
+    /// A leaf names a limit of requests that cannot be read; the one known before stays in force.
+    LeafLimitUnreadable = 313,
     /// A peer was discovered for the first time or after a restart.
     PeerJoined = 400,
     /// A peer is shutting down.
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -23,6 +23,7 @@
 use crate::ids::Zone;
 use crate::leaf_estimates::LeafEstimates;
 use crate::leaf_estimates::Usability;
+use crate::leaf_limiter::LeafLimiter;
 use crate::plan::Choice;
 use crate::plan::Purpose;
 use crate::pool::Pool;
@@ -60,6 +61,8 @@
     pub admission_queue: AdmissionQueue<SlotToken>,
     /// Estimates of latency, failure probability and usability.
     pub estimates: LeafEstimates,
+    /// The rate limit that the leaf names, and this host's calls to it.
+    pub limiter: LeafLimiter,
     /// Budget of the retries that this leaf's failures may cause.
     pub retries: ExtraLoadBudget,
     /// Whether calls go to the leaf directly or through relays.
@@ -101,7 +104,14 @@
         let admission_queue = AdmissionQueue::new(max_window(&host, &route));
         let retries = ExtraLoadBudget::for_leaf();
         let detail = host.detail.clone();
-        let state = LeafState { admission_queue, estimates, retries, route, detail };
+        let state = LeafState {
+            admission_queue,
+            estimates,
+            limiter: LeafLimiter::default(),
+            retries,
+            route,
+            detail,
+        };
         let hash = LeafHash::of(&host.name);
         Self { key, hash, pool, host, state: Mutex::new(state) }
     }
--- a/lib/src/leaf_protocol.rs
+++ b/lib/src/leaf_protocol.rs
@@ -12,6 +12,7 @@
 use crate::ids::IndexVersion;
 use crate::ids::QueryId;
 use crate::ids::ShardNo;
+use crate::rate_limit::NamedLimit;
 
 /// HTTP path of a search call.
 pub const SEARCH_PATH: &str = "/search";
@@ -126,6 +127,10 @@
     /// Number of calls that are queued in the leaf; a hint only.
     #[serde(default)]
     pub queued: u32,
+    /// Requests a second that the leaf takes from all hosts together, for as long as its answers
+    /// say so; absent if it has no such limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_per_s: Option<f64>,
     /// Hits of the shard; complete only with status [`LeafStatus::Ok`].
     #[serde(default)]
     pub hits: Vec<Hit>,
@@ -149,20 +154,25 @@
     pub effort_us: Option<u64>,
     /// Number of calls that are queued in the leaf; a hint only.
     pub queued: u32,
+    /// What the reply says about the requests that the leaf takes from all hosts together.
+    pub limit: NamedLimit,
     /// Contribution of the leaf to the answer. A failed call may have a payload too.
     pub payload: P,
 }
 
 impl From<LeafAnswer> for LeafReply<Vec<Hit>> {
     fn from(answer: LeafAnswer) -> Self {
-        let LeafAnswer { call, status, effort_us, queued, hits } = answer;
-        Self { call, status, effort_us: Some(effort_us), queued, payload: hits }
+        let LeafAnswer { call, status, effort_us, queued, limit_per_s, hits } = answer;
+        let limit = limit_per_s.into();
+        Self { call, status, effort_us: Some(effort_us), queued, limit, payload: hits }
     }
 }
 
 impl From<LeafReply<Vec<Hit>>> for LeafAnswer {
     fn from(reply: LeafReply<Vec<Hit>>) -> Self {
-        let LeafReply { call, status, effort_us, queued, payload } = reply;
-        Self { call, status, effort_us: effort_us.unwrap_or_default(), queued, hits: payload }
+        let LeafReply { call, status, effort_us, queued, payload, .. } = reply;
+        // The host that made the call keeps to the limit; it does not concern hosts behind it.
+        let (effort_us, limit_per_s) = (effort_us.unwrap_or_default(), None);
+        Self { call, status, effort_us, queued, limit_per_s, hits: payload }
     }
 }
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -125,7 +125,7 @@
 fn answer(send: &SendCall, status: LeafStatus) -> LeafAnswer {
     let hit = Hit { score: 1.0, id: format!("s{}", send.call.shard), fields: None };
     let hits = if status == LeafStatus::Ok { vec![hit] } else { Vec::new() };
-    LeafAnswer { call: send.call, status, effort_us: 1, queued: 0, hits }
+    LeafAnswer { call: send.call, status, effort_us: 1, queued: 0, limit_per_s: None, hits }
 }
 
 /// A query in progress with its policy, the calls that it has sent and cancelled so far, and the
