--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -65,7 +65,9 @@
     pub addr: SocketAddr,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<HashMap<String, usize>>,
-    arrivals: AtomicUsize,
+    /// Value of the header by which the leaf names its rate limit, if it names one.
+    limit: Mutex<Option<String>>,
+    arrivals: Mutex<Vec<Instant>>,
     abandoned: AtomicUsize,
     /// Time of each crash. Its length is the number of the leaf's incarnation.
     crashes: watch::Sender<Vec<Instant>>,
@@ -104,7 +106,8 @@
             addr,
             behaviour: Mutex::default(),
             runs: Mutex::default(),
-            arrivals: AtomicUsize::new(0),
+            limit: Mutex::default(),
+            arrivals: Mutex::default(),
             abandoned: AtomicUsize::new(0),
             crashes: watch::Sender::default(),
         });
@@ -180,7 +183,17 @@
 
     /// Returns how many requests arrived, including those that were refused.
     pub fn arrivals(&self) -> usize {
-        self.arrivals.load(Ordering::Relaxed)
+        self.arrivals.lock().unwrap().len()
+    }
+
+    /// Returns the time of each arrival of a request, including those that were refused.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
+    /// Sets the rate limit that the leaf names from its next response on; `None` for none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *self.limit.lock().unwrap() = limit.map(str::to_owned);
     }
 
     /// Returns how many slow requests the daemon abandoned by closing their connection.
@@ -191,7 +204,7 @@
     async fn serve(self: Arc<Self>, stream: &mut TcpStream) {
         let mut buf = Vec::new();
         while let Some(head) = read_request(stream, &mut buf).await {
-            self.arrivals.fetch_add(1, Ordering::Relaxed);
+            self.arrivals.lock().unwrap().push(Instant::now());
             if head.target != self.instance {
                 let text = "HTTP/1.1 421 Misdirected Request\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
                 if stream.write_all(text.as_bytes()).await.is_err() {
@@ -237,10 +250,12 @@
         let Head { id, .. } = head;
         let signature = format!("{}.{id}", self.instance);
         let record = format!("{:0<16}{:0<16}", self.instance, format!("z{}", self.instance));
+        let limit = self.limit.lock().unwrap().clone();
+        let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
         let answer = |status: &str, id: &str, body: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-request-id: {id}\r\nx-response-seal: {signature}\r\n\
-                 content-length: {}\r\n\r\n{body}",
+                 {limit}content-length: {}\r\n\r\n{body}",
                 body.len()
             )
         };
--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -2,5 +2,6 @@
 
 mod crashing_requests;
 mod edge_bed;
+mod leaf_rate_limits;
 mod serving;
 mod soak;
