leaf_reach: find out that this host is cut off from the leafs, and log it

A host that loses its links to all leafs learned of each leaf apart, over seconds, and the log told of none of it as a whole. The host now finds a cut when three leafs or more have been silent for 0.25 s while none answers, and its end with the first answer or connection; it tries to connect to three leafs four times a second meanwhile. No request is treated differently yet.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -213,11 +213,15 @@
             state.estimates.record_call_start(self.send.call, started);
             state.limiter.record_sent(self.send.purpose);
         }
+        self.cx.tier.reach.lock().unwrap().record_attempt(self.leaf.key, started);
         let outgoing = self.outgoing(started);
         let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
         let now = Instant::now();
         self.leaf.state().estimates.record_call_end(self.send.call);
         let elapsed = now.saturating_duration_since(started);
+        if let Some(Ok(_)) = &result {
+            self.cx.tier.record_leaf_contact(now);
+        }
         match result {
             Some(Ok(response)) => match self.cx.codec.decode_reply(&outgoing, response) {
                 Ok(mut reply) => {
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -82,6 +82,8 @@
     leaf_crashes,
     /// Checks whether a leaf is lost after a call to it that was not answered.
     leaf_checks,
+    /// Times that this host was found to be cut off from the leafs.
+    cuts,
     /// Requests that ran as a probe because they were suspected of crashing leafs.
     probes,
     /// Requests refused because they were suspected of crashing leafs.
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -41,6 +41,7 @@
 use crate::platform_store::Decoder;
 use crate::platform_store::PlatformStore;
 use crate::quarantine::Quarantine;
+use crate::reach_monitor;
 use crate::relay_link::RelayLinks;
 use crate::signature::KeyRing;
 use crate::subscriber::Subscriber;
@@ -200,6 +201,7 @@
         tokio::spawn(suspects.run());
         tokio::spawn(limits.run());
         tokio::spawn(crash_verifier::run(tier.clone(), views.clone()));
+        tokio::spawn(reach_monitor::run(tier.clone(), views.clone()));
         tokio::spawn(edge.clone().accept(callers));
         tokio::spawn(control_service.clone().accept(ready));
         if let Some(port) = settings.metrics_port {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -98,6 +98,11 @@
     LeafLimitEnded = 312,
     /// A leaf names a limit of requests that cannot be read; the one known before stays in force.
     LeafLimitUnreadable = 313,
+    /// No leaf answers or accepts a connection any more: this host is cut off from the leafs, or all
+    /// of them are lost.
+    LeafsUnreachable = 314,
+    /// A leaf answers or accepts a connection again.
+    LeafsReachable = 315,
     /// A peer was discovered for the first time or after a restart.
     PeerJoined = 400,
     /// A peer is shutting down.
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -32,10 +32,12 @@
         Ok(OpenedConnection { conn, connect_time }) => {
             tier.zone_rtts.lock().unwrap().record(&leaf.host.zone, connect_time);
             tier.crash_detector.lock().unwrap().record_connected(leaf.key);
+            tier.record_leaf_contact(Instant::now());
             Ok(conn)
         }
         Err(e) => {
             tier.counters.connect_failures.increment();
+            tier.reach.lock().unwrap().record_attempt(leaf.key, Instant::now());
             if let Some(cause) = loss_cause(&e) {
                 tier.record_lost_leaf(leaf.key, cause, Instant::now());
             }
@@ -60,7 +62,10 @@
     tier.counters.leaf_checks.increment();
     let result = tier.backend.connect(leaf.host.addr, CONNECT_TIMEOUT).await;
     match &result {
-        Ok(_) => tier.crash_detector.lock().unwrap().record_connected(leaf.key),
+        Ok(_) => {
+            tier.crash_detector.lock().unwrap().record_connected(leaf.key);
+            tier.record_leaf_contact(Instant::now());
+        }
         Err(e) => {
             if let Some(cause) = loss_cause(e) {
                 tier.record_lost_leaf(leaf.key, cause, Instant::now());
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -1,7 +1,7 @@
 //! State of the query tier that all workers of one process share.
 //!
 //! Lock order: `draining`, then `view`, then `entries`, then the locks of one [`EntryState`], then
-//! `indexes`, then a leaf's state, then `zone_rtts`, `crash_detector`, `call_reports`,
+//! `indexes`, then a leaf's state, then `zone_rtts`, `reach`, `crash_detector`, `call_reports`,
 //! `quarantine` and `ledger`, of which no two are held at once. No lock is held across an await.
 
 use std::collections::BTreeMap;
@@ -45,6 +45,7 @@
 use crate::ids::Zone;
 use crate::latency::LatencyTracker;
 use crate::leaf::Leaf;
+use crate::leaf_reach::LeafReach;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
 use crate::ledger::Ledger;
@@ -139,6 +140,8 @@
     pub zone_rtts: Mutex<ZoneRtts>,
     /// Unanswered calls, which may turn out to have crashed their leafs.
     pub crash_detector: Mutex<CrashDetector>,
+    /// Whether this host is cut off from the leafs.
+    pub reach: Mutex<LeafReach>,
     /// Notified when the crash detector has recorded an unanswered call.
     pub call_unanswered: Notify,
     /// Reports of this host's leaf calls that are not yet sent to the zone's other hosts. Set only
@@ -171,6 +174,7 @@
         Self {
             zone_rtts: Mutex::new(zone_rtts),
             crash_detector: Mutex::default(),
+            reach: Mutex::default(),
             call_unanswered: Notify::new(),
             suspects_changed: Notify::new(),
             call_reports: OnceLock::new(),
@@ -226,6 +230,14 @@
         }
     }
 
+    /// Records that a leaf answered or accepted a connection, which ends a cut from the leafs.
+    pub fn record_leaf_contact(&self, now: Instant) {
+        let cut_time = self.reach.lock().unwrap().record_contact(now);
+        if let Some(cut_time) = cut_time {
+            log_event!(info, Event::LeafsReachable, cut_ms = cut_time.as_millis() as u64);
+        }
+    }
+
     /// Records that an incarnation of a leaf was found lost, and suspects the requests that ran on
     /// it.
     pub fn record_lost_leaf(&self, leaf: LeafKey, cause: LossCause, now: Instant) {
