--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -1,5 +1,6 @@
 //! Test bed on a stand-in of the users' platform: its store, its leafs, and real daemon processes.
 
+pub mod gate;
 pub mod leaf;
 pub mod store;
 
@@ -27,6 +28,8 @@
 use testutils::eventually;
 use tokio::net::TcpStream;
 
+pub use gate::Gate;
+pub use gate::GateState;
 pub use leaf::Behaviour;
 pub use leaf::CRASHING_PATH;
 pub use leaf::Downtime;
@@ -54,6 +57,8 @@
     /// The fault-injecting proxies in front of the leafs and the store.
     pub network: Network,
     pub store: Arc<Store>,
+    /// The store of the daemons that reach the leafs through gates, if there are any.
+    pub gated_store: Option<Arc<Store>>,
     pub leafs: Vec<Arc<Leaf>>,
     pub daemons: Vec<Daemon>,
 }
@@ -159,6 +164,38 @@
         Self::start_daemons(network, store, leafs, shards, daemons).await
     }
 
+    /// Starts a test bed like [`EdgeBed::start`], in which the first `gated` daemons reach the leafs
+    /// through gates, which it returns.
+    pub async fn start_with_gates(
+        shards: usize,
+        replicas: usize,
+        daemons: usize,
+        gated: usize,
+    ) -> (Self, Vec<Arc<Gate>>) {
+        let mut bed = Self::start(shards, replicas, daemons - gated).await;
+        let store = Store::start(&bed.network).await;
+        store.put("op/config", &configuration(1, shards));
+        let mut gates = Vec::new();
+        for leaf in &bed.leafs {
+            let gate = Gate::start(leaf.addr).await;
+            store.put_leaf_at(leaf, gate.addr, "ready", 1);
+            gates.push(gate);
+        }
+        let seeds: Vec<_> = bed.daemons.iter().map(|daemon| daemon.control).collect();
+        let start = |number| Daemon::start(number, store.addr, &seeds, free_addr());
+        let others = std::mem::take(&mut bed.daemons);
+        bed.daemons = (0..gated).map(|n| start(daemons + n)).chain(others).collect();
+        bed.wait_until_ready().await;
+        bed.gated_store = Some(store);
+        (bed, gates)
+    }
+
+    async fn wait_until_ready(&self) {
+        for daemon in &self.daemons {
+            eventually("a daemon is ready", async || daemon.is_ready().await.then_some(())).await;
+        }
+    }
+
     async fn start_daemons(
         network: Network,
         store: Arc<Store>,
@@ -172,10 +209,8 @@
         let start =
             |(n, &control): (usize, &SocketAddr)| Daemon::start(n, store.addr, seeds, control);
         let daemons: Vec<_> = controls.iter().enumerate().map(start).collect();
-        let bed = Self { network, store, leafs, daemons };
-        for daemon in &bed.daemons {
-            eventually("a daemon is ready", async || daemon.is_ready().await.then_some(())).await;
-        }
+        let bed = Self { network, store, gated_store: None, leafs, daemons };
+        bed.wait_until_ready().await;
         bed
     }
 
--- a/cli/tests/test_edge/edge_bed/store.rs
+++ b/cli/tests/test_edge/edge_bed/store.rs
@@ -104,7 +104,12 @@
 
     /// Writes the entry of a leaf. `sequence` is the number of the write since the leaf's start.
     pub fn put_leaf(&self, leaf: &Leaf, state: &str, sequence: u64) {
-        let value = json!({"service": leaf.group, "address": leaf.addr.to_string(), "zone": "muc-a",
+        self.put_leaf_at(leaf, leaf.addr, state, sequence);
+    }
+
+    /// Writes the entry of a leaf under another address.
+    pub fn put_leaf_at(&self, leaf: &Leaf, addr: SocketAddr, state: &str, sequence: u64) {
+        let value = json!({"service": leaf.group, "address": addr.to_string(), "zone": "muc-a",
             "version": "v1", "max_concurrency": 2, "state": state, "cold_left_ms": 0,
             "sequence": sequence, "born": leaf.born_ms()});
         self.put(&format!("servers/{}", leaf.instance), &value);
--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -5,3 +5,4 @@
 mod leaf_rate_limits;
 mod serving;
 mod soak;
+mod unreachable_leafs;
