request_forwarder: pass requests on while this host reaches no leaf

Cause: a host called leafs directly or not at all, and took each leaf that it did not reach for a lost one.

Now a host that finds itself cut off asks others whether they reach the leafs, and passes whole requests on to one of those that do, by round trip and load. The other host runs it like a request of its own, with what is left of time and of calls to each shard, and never passes it on again. A request that may run again and is in progress when the cut is found is passed on too, if calls are left to it; a call that was written 0.1 s or more after the last contact with any leaf did not arrive. A request of which no byte was sent, as its leafs refuse this host alone, takes the same way. If no host reaches the leafs, the request is refused at once as not run. Leafs that refuse count after 0.06 s, silent ones after 0.25 s. What a cut-off host observes of single leafs is neither evidence of crashes nor reported, and is forgotten when the cut ends.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -219,8 +219,10 @@
         let now = Instant::now();
         self.leaf.state().estimates.record_call_end(self.send.call);
         let elapsed = now.saturating_duration_since(started);
-        if let Some(Ok(_)) = &result {
-            self.cx.tier.record_leaf_contact(now);
+        match &result {
+            Some(Ok(_)) => self.cx.tier.record_leaf_contact(now),
+            Some(Err(e)) => self.cx.tier.record_failed_connection(self.leaf.key, e, now),
+            None => {}
         }
         match result {
             Some(Ok(response)) => match self.cx.codec.decode_reply(&outgoing, response) {
--- a/lib/src/connection_manager.rs
+++ b/lib/src/connection_manager.rs
@@ -50,6 +50,9 @@
     pub async fn run(mut self) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
+            if self.tier.is_cut_off() {
+                continue;
+            }
             let view = self.cluster_state.views.get();
             let phase = self.cluster_state.fleet.lock().unwrap().phase(Instant::now());
             if phase == HostPhase::Settled {
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -82,6 +82,12 @@
     leaf_crashes,
     /// Checks whether a leaf is lost after a call to it that was not answered.
     leaf_checks,
+    /// Requests answered through another host, as this one did not reach the leafs.
+    forwarded,
+    /// Requests that no other host took either.
+    not_forwarded,
+    /// Requests answered for other hosts.
+    taken,
     /// Times that this host was found to be cut off from the leafs.
     cuts,
     /// Requests that ran as a probe because they were suspected of crashing leafs.
--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -115,6 +115,12 @@
         calls.filter(may_have_crashed).map(crash).collect()
     }
 
+    /// Forgets all unanswered calls and lost leafs, as when this host was the one that was cut off.
+    pub fn clear(&mut self) {
+        self.calls.clear();
+        self.lost.clear();
+    }
+
     /// Records that a leaf accepted a connection, so that it is not lost any more.
     pub fn record_connected(&mut self, leaf: LeafKey) {
         self.lost.remove(&leaf);
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -135,6 +135,16 @@
         if self.query.is_over() { Step::Over } else { Step::Open }
     }
 
+    /// Returns the largest number of calls to one shard that may have reached a leaf.
+    pub fn most_arrived_calls(&self) -> usize {
+        let reach = self.cx.tier.reach.lock().unwrap();
+        let may_have_arrived = |attempt| {
+            let written_at = self.policy.written_at(attempt);
+            written_at.is_some_and(|at| reach.may_have_arrived(at))
+        };
+        self.query.most_calls_to_one_shard(may_have_arrived)
+    }
+
     /// Ends the query before its outcome is decided, with what was merged so far, and cancels the
     /// calls in progress.
     pub fn end_early(&mut self) {
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -44,12 +44,16 @@
 use crate::connection_activity::ConnectionAction;
 use crate::connection_activity::ConnectionActivity;
 use crate::events::Event;
+use crate::forwarded_request::ForwardedAnswer;
+use crate::forwarded_request::ForwardedRequest;
 use crate::log_event;
 use crate::opaque::LocalAnswer;
 use crate::opaque::OpaqueAnswer;
 use crate::opaque_catalogue::CallerLimits;
 use crate::opaque_coordinator::OpaqueCoordinator;
+use crate::opaque_coordinator::Unreached;
 use crate::opaque_view::ViewCell;
+use crate::request_forwarder::RequestForwarder;
 use crate::socket;
 
 /// Longest time that reading the body of a request may take.
@@ -86,6 +90,11 @@
         }
     }
 
+    /// Sets what passes requests on to other hosts. Has no effect if it is set already.
+    pub fn set_forwarder(&self, forwarder: Box<dyn RequestForwarder>) {
+        self.coordinator.set_forwarder(forwarder);
+    }
+
     /// Closes each connection after its next answer from now on.
     pub fn start_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -117,6 +126,30 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// Answers a request that another host has passed on. The message is encoded, as is the reply.
+    /// Fails if the message does not decode.
+    pub async fn answer_forwarded(&self, body: &[u8]) -> Result<Bytes, rmp_serde::decode::Error> {
+        let forwarded: ForwardedRequest = rmp_serde::from_slice(body)?;
+        let _in_progress = CountGuard::new(&self.in_progress);
+        let state = forwarded.state;
+        let now = Instant::now();
+        let arrived_at = now.checked_sub(state.elapsed).unwrap_or(now);
+        let refused = Unreached { spent_attempts: 0, not_run: true };
+        let answer = match forwarded.into_request() {
+            Some(req) if !self.is_leaving() => {
+                self.coordinator.answer_forwarded(req, state.attempts, arrived_at).await
+            }
+            _ => Err(refused),
+        };
+        let reply = match answer {
+            Ok(answer) => ForwardedAnswer::from(answer),
+            Err(Unreached { spent_attempts, not_run }) => {
+                ForwardedAnswer::NotTaken { spent_attempts, not_run }
+            }
+        };
+        Ok(rmp_serde::to_vec(&reply).expect("message types serialise").into())
+    }
+
     fn limits(&self) -> CallerLimits {
         let view = self.views.get();
         view.catalogue.as_ref().map(|c| c.caller_limits).unwrap_or_default()
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -27,10 +27,14 @@
 use crate::fleet_link::CHANGES_PATH;
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
+use crate::fleet_link::encode;
 use crate::limit_link::LIMITS_PATH;
 use crate::limit_link::LimitLink;
 use crate::metrics::Metrics;
 use crate::rate_limit::RequestRate;
+use crate::request_forwarder::FORWARD_PATH;
+use crate::request_forwarder::REACH_PATH;
+use crate::request_forwarder::ReachReply;
 use crate::socket;
 use crate::suspect_link::SUSPECTS_PATH;
 use crate::suspect_link::SuspectLink;
@@ -108,6 +112,11 @@
         self.cluster_state.is_complete() && !self.edge.is_leaving()
     }
 
+    /// Returns whether this process takes requests of hosts that do not reach the leafs.
+    fn reaches_leafs(&self) -> bool {
+        self.is_ready() && !self.tier.is_cut_off()
+    }
+
     /// Accepts and serves connections for as long as the process runs.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let handle_connection = |stream| drop(tokio::spawn(self.clone().handle_connection(stream)));
@@ -137,6 +146,13 @@
             }
             EXCHANGE_PATH => encoded_response(self.link.answer_exchange(&body)),
             CALL_REPORTS_PATH => encoded_response(self.call_reports.answer_reports(&body)),
+            FORWARD_PATH => {
+                self.tier.counters.taken.increment();
+                encoded_response(self.edge.answer_forwarded(&body).await)
+            }
+            REACH_PATH => {
+                reply(StatusCode::OK, encode(&ReachReply { reaches: self.reaches_leafs() }))
+            }
             SUSPECTS_PATH => encoded_response(self.suspects.answer_announcement(&body)),
             LIMITS_PATH => encoded_response(self.limits.answer_report(&body)),
             CHANGES_PATH => encoded_response(self.link.answer_changes(&body).await),
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -43,6 +43,7 @@
 use crate::quarantine::Quarantine;
 use crate::reach_monitor;
 use crate::relay_link::RelayLinks;
+use crate::request_forwarder::FleetForwarder;
 use crate::signature::KeyRing;
 use crate::subscriber::Subscriber;
 use crate::subscription::Subscription;
@@ -172,6 +173,9 @@
         let edge = Arc::new(Edge::new(coordinator, views.clone(), parts.caller_codec));
         let client = HttpClient::with_local_address(Some(settings.control.ip()));
         let link = Arc::new(FleetLink::new(cluster_state.clone(), tier.clone(), client));
+        let forwarder = FleetForwarder::new(cluster_state.clone(), tier.clone(), link.clone());
+        let forwarder = Arc::new(forwarder);
+        edge.set_forwarder(Box::new(forwarder.clone()));
         let call_reports = CallReportLink::new(cluster_state.clone(), tier.clone(), link.clone());
         let call_reports = Arc::new(call_reports);
         let suspects = SuspectLink::new(cluster_state.clone(), tier.clone(), link.clone());
@@ -200,6 +204,7 @@
         tokio::spawn(call_reports.run());
         tokio::spawn(suspects.run());
         tokio::spawn(limits.run());
+        tokio::spawn(forwarder.run());
         tokio::spawn(crash_verifier::run(tier.clone(), views.clone()));
         tokio::spawn(reach_monitor::run(tier.clone(), views.clone()));
         tokio::spawn(edge.clone().accept(callers));
@@ -252,9 +257,11 @@
         log_event!(info, Event::Stopped, connections, in_progress, took_ms);
     }
 
-    /// Waits until all connections of callers are closed, at most until `deadline`.
+    /// Waits until all connections of callers are closed and the requests of other hosts are
+    /// answered, at most until `deadline`.
     async fn wait_for_connections(&self, deadline: Instant) {
-        while self.edge.connections() > 0 && Instant::now() < deadline {
+        let is_busy = || self.edge.connections() > 0 || self.edge.in_progress() > 0;
+        while is_busy() && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
     }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -129,6 +129,11 @@
     CallLost = 504,
     /// A hedge or retry was not sent because the budget for extra calls was used up.
     CallDenied = 505,
+    /// A request was answered through another host, as this one does not reach the leafs.
+    RequestForwarded = 506,
+    /// Passing a request on to another host failed; it is passed on to the next one if it may run
+    /// again.
+    ForwardingFailed = 507,
     /// Log lines were dropped because the output did not accept them fast enough.
     LogDropped = 600,
 }
--- a/lib/src/held_connection.rs
+++ b/lib/src/held_connection.rs
@@ -37,7 +37,7 @@
         }
         Err(e) => {
             tier.counters.connect_failures.increment();
-            tier.reach.lock().unwrap().record_attempt(leaf.key, Instant::now());
+            tier.record_failed_connection(leaf.key, &e, Instant::now());
             if let Some(cause) = loss_cause(&e) {
                 tier.record_lost_leaf(leaf.key, cause, Instant::now());
             }
--- a/lib/src/leaf_estimates.rs
+++ b/lib/src/leaf_estimates.rs
@@ -293,6 +293,16 @@
         true
     }
 
+    /// Forgets losses and ejections, as those of a time in which this host reached no leaf say
+    /// nothing about the leaf.
+    pub fn forget_losses(&mut self) {
+        self.consecutive_losses = 0;
+        self.consecutive_ejections = 0;
+        self.ejected_until = None;
+        self.failure_rate = 0.0;
+        self.full_until = None;
+    }
+
     /// Returns whether the leaf may get a call now. A leaf whose ejection has expired is usable
     /// again, and its next call serves as a probe.
     pub fn usability(&self, now: Instant) -> Usability {
--- a/lib/src/leaf_reach.rs
+++ b/lib/src/leaf_reach.rs
@@ -12,28 +12,52 @@
 
 /// Time without an answer of any leaf after which silent leafs indicate a cut.
 const SILENCE_TIME: Duration = Duration::from_millis(250);
+/// The same time for leafs that refuse connections, which leave nothing to wait for. It is long
+/// enough for a connection to another region.
+const REFUSAL_TIME: Duration = Duration::from_millis(60);
+/// Time after which connections are tried, which disprove a cut if the leafs are only slow.
+const SUSPICION_TIME: Duration = Duration::from_millis(150);
+/// Time after the last contact in which a cut has begun.
+const CONTACT_MARGIN: Duration = Duration::from_millis(100);
 /// Number of silent leafs that indicate a cut; fewer if fewer leafs are listed.
 const MIN_SILENT_LEAFS: usize = 3;
 
+/// What happened to the calls to one leaf since any leaf answered.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    since: Instant,
+    /// Whether the leaf refused a connection or broke one, so that no answer is to come.
+    is_refused: bool,
+}
+
 /// What this host observes of all leafs together.
 #[derive(Debug, Default)]
 pub struct LeafReach {
-    /// Leafs that were called or refused a connection since any leaf answered, with the time of the
-    /// first of these calls.
-    silent: HashMap<LeafKey, Instant>,
+    /// Leafs that were called since any leaf answered.
+    silent: HashMap<LeafKey, Silence>,
     cut_off_at: Option<Instant>,
+    contacted_at: Option<Instant>,
 }
 
 impl LeafReach {
-    /// Records that a call is written to a leaf, or that a connection to it could not be opened.
+    /// Records that a call is written to a leaf, or that a connection to it is not opened in time.
     pub fn record_attempt(&mut self, leaf: LeafKey, now: Instant) {
-        self.silent.entry(leaf).or_insert(now);
+        self.silent.entry(leaf).or_insert(Silence { since: now, is_refused: false });
+    }
+
+    /// Records that a leaf refused a connection or broke one in use.
+    pub fn record_refusal(&mut self, leaf: LeafKey, now: Instant) {
+        let silence = self.silent.entry(leaf).or_insert(Silence { since: now, is_refused: true });
+        if !silence.is_refused {
+            *silence = Silence { since: now, is_refused: true };
+        }
     }
 
     /// Records that a leaf answered or accepted a connection. Returns how long this host was cut
     /// off, if that ends a cut.
     pub fn record_contact(&mut self, now: Instant) -> Option<Duration> {
         self.silent.clear();
+        self.contacted_at = Some(now);
         self.cut_off_at.take().map(|at| now.saturating_duration_since(at))
     }
 
@@ -42,13 +66,27 @@
         self.silent.clear();
     }
 
+    /// Returns whether silent leafs make a cut possible, so that a connection should be tried.
+    pub fn is_suspected(&self, listed: usize, now: Instant) -> bool {
+        self.is_silent(listed, |silence| {
+            silence.is_refused || now.saturating_duration_since(silence.since) >= SUSPICION_TIME
+        })
+    }
+
+    /// Returns whether so many leafs have refused this host since any leaf answered that it may be
+    /// cut off, and the loss of one of them is not certain.
+    pub fn is_refused_by_several(&self) -> bool {
+        self.silent.values().filter(|silence| silence.is_refused).count() >= MIN_SILENT_LEAFS
+    }
+
     /// Returns whether a cut is found now that was not known before. `listed` is the number of
     /// leafs.
     pub fn detect_cut(&mut self, listed: usize, now: Instant) -> bool {
-        let is_silent = |at: &&Instant| now.saturating_duration_since(**at) >= SILENCE_TIME;
-        let silent = self.silent.values().filter(is_silent).count();
-        let is_cut_off = silent > 0 && silent >= MIN_SILENT_LEAFS.min(listed);
-        let is_new = is_cut_off && self.cut_off_at.is_none();
+        let is_new = self.cut_off_at.is_none()
+            && self.is_silent(listed, |silence| {
+                let time = if silence.is_refused { REFUSAL_TIME } else { SILENCE_TIME };
+                now.saturating_duration_since(silence.since) >= time
+            });
         if is_new {
             self.cut_off_at = Some(now);
         }
@@ -59,4 +97,16 @@
     pub fn is_cut_off(&self) -> bool {
         self.cut_off_at.is_some()
     }
+
+    /// Returns whether a call that was written at `written_at` may have reached its leaf. While
+    /// this host is cut off, one that was written well after the last contact did not.
+    pub fn may_have_arrived(&self, written_at: Instant) -> bool {
+        let last = self.contacted_at.map(|at| at + CONTACT_MARGIN);
+        !self.is_cut_off() || last.is_some_and(|last| written_at <= last)
+    }
+
+    fn is_silent(&self, listed: usize, counts: impl Fn(&Silence) -> bool) -> bool {
+        let silent = self.silent.values().filter(|silence| counts(silence)).count();
+        silent > 0 && silent >= MIN_SILENT_LEAFS.min(listed)
+    }
 }
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
@@ -47,6 +48,9 @@
 use crate::query::Query;
 use crate::query_outcome::Outcome;
 use crate::records;
+use crate::request_forwarder::ForwardOutcome;
+use crate::request_forwarder::Forwarding;
+use crate::request_forwarder::RequestForwarder;
 use crate::retry_after;
 use crate::retry_after::LOST_LEAFS_RETRY;
 use crate::retry_after::OTHER_HOST_RETRY;
@@ -56,6 +60,13 @@
 /// Assumed processing time of a leaf call before enough calls were measured.
 const DEFAULT_WORK: Duration = Duration::from_millis(8);
 
+/// Time for which no request is passed on after another host could not serve one either.
+const KEEP_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time for which a request that was not served waits until it is decided whether this host
+/// is cut off.
+const DOUBT_TIME: Duration = Duration::from_millis(130);
+
 /// Creates the codecs of requests.
 pub trait CodecFactory: Send + Sync {
     /// Returns the codec that encodes the calls of `req` and decodes their replies.
@@ -72,6 +83,20 @@
     pickers: Mutex<HashMap<EntryName, EntryPicker>>,
     /// Whether queries end before their outcome is decided, as the process is about to exit.
     ends_early: watch::Sender<bool>,
+    /// Passes requests on to other hosts; if it is not set, none is passed on.
+    forwarder: OnceLock<Box<dyn RequestForwarder>>,
+    /// Until when requests are not passed on while this host reaches leafs, as another host could
+    /// not serve one either.
+    keeps_until: Mutex<Option<Instant>>,
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// A caller. The request may be passed on to another host.
+    Caller,
+    /// Another host, which allows this number of calls to each shard.
+    Host { attempts: u32 },
 }
 
 /// State of the traffic split of one entry. It is created again when the entry's target changes.
@@ -80,6 +105,38 @@
     picker: WeightedRoundRobin,
 }
 
+/// A request that was not served because no leaf could be reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Unreached {
+    /// Number of calls to one shard, at most, that may have reached a leaf.
+    pub spent_attempts: u32,
+    /// Whether it is certain that the request has not run.
+    pub not_run: bool,
+}
+
+/// An admitted request.
+struct Run {
+    source: Source,
+    req: Arc<OpaqueRequest>,
+    fingerprint: Fingerprint,
+    view: Arc<OpaqueView>,
+    admitted: Admitted,
+    arrived_at: Instant,
+}
+
+/// A query that has ended on this host.
+struct Ended {
+    outcome: Outcome<LeafResponse>,
+    /// Largest number of calls to one shard that may have reached a leaf.
+    arrived_calls: usize,
+}
+
+impl Ended {
+    fn is_served(&self) -> bool {
+        matches!(self.outcome.kind, OutcomeKind::Complete | OutcomeKind::Partial)
+    }
+}
+
 /// A request that may be sent to leafs.
 struct Admitted {
     entry: Arc<OpaqueEntry>,
@@ -98,8 +155,22 @@
         budget: Arc<Mutex<FleetBudget>>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let (pickers, ends_early) = (Mutex::default(), watch::Sender::new(false));
-        Self { tier, views, codecs, budget, metrics, pickers, ends_early }
+        Self {
+            tier,
+            views,
+            codecs,
+            budget,
+            metrics,
+            pickers: Mutex::default(),
+            ends_early: watch::Sender::new(false),
+            forwarder: OnceLock::new(),
+            keeps_until: Mutex::default(),
+        }
+    }
+
+    /// Sets what passes requests on to other hosts. Has no effect if it is set already.
+    pub fn set_forwarder(&self, forwarder: Box<dyn RequestForwarder>) {
+        let _ = self.forwarder.set(forwarder);
     }
 
     /// Ends all queries, and from now on each new one, with what was merged so far. Their callers
@@ -112,6 +183,30 @@
     /// configuration if there is none yet. Dropping the returned future cancels the calls in
     /// progress.
     pub async fn answer(&self, req: OpaqueRequest, arrived_at: Instant) -> OpaqueAnswer {
+        match self.answer_from(Source::Caller, req, arrived_at).await {
+            Ok(answer) => answer,
+            Err(Unreached { not_run: true, .. }) => OpaqueAnswer::Local(unreachable_refusal()),
+            Err(Unreached { .. }) => unanswered_response(),
+        }
+    }
+
+    /// Answers a request that another host has passed on; it arrived there at `arrived_at`. Calls
+    /// at most `attempts` leafs of each shard.
+    pub async fn answer_forwarded(
+        &self,
+        req: OpaqueRequest,
+        attempts: u32,
+        arrived_at: Instant,
+    ) -> Result<OpaqueAnswer, Unreached> {
+        self.answer_from(Source::Host { attempts }, req, arrived_at).await
+    }
+
+    async fn answer_from(
+        &self,
+        source: Source,
+        req: OpaqueRequest,
+        arrived_at: Instant,
+    ) -> Result<OpaqueAnswer, Unreached> {
         self.tier.counters.queries.increment();
         let max_wait = retry_after::first_configuration_wait(
             self.views.uptime(arrived_at),
@@ -120,8 +215,8 @@
         let view = self.views.wait_for_catalogue(max_wait).await;
         let req = Arc::new(req);
         let fingerprint = req.fingerprint();
-        match self.admit(&req, fingerprint, &view, arrived_at) {
-            Ok(admitted) => self.run_query(req, fingerprint, view, admitted, arrived_at).await,
+        let admitted = match self.admit(&req, fingerprint, &view, arrived_at) {
+            Ok(admitted) => admitted,
             Err(local) => {
                 self.tier.counters.count_outcome(OutcomeKind::NotRun);
                 log_event!(
@@ -132,9 +227,39 @@
                     cause = &*local.message,
                     version = view.catalogue.as_ref().map_or(0, |c| c.version.0)
                 );
-                OpaqueAnswer::Local(local)
+                return Ok(OpaqueAnswer::Local(local));
+            }
+        };
+        let run = Run { source, req, fingerprint, view, admitted, arrived_at };
+        self.answer_run(&run).await
+    }
+
+    /// Runs a request on this host, or passes it on if this host does not reach the leafs.
+    async fn answer_run(&self, run: &Run) -> Result<OpaqueAnswer, Unreached> {
+        let is_callers = run.source == Source::Caller;
+        let mut unreached = Unreached { spent_attempts: 0, not_run: true };
+        if !self.tier.is_cut_off() {
+            let ended = self.run_here(run).await;
+            if !ended.is_served() {
+                self.wait_for_doubt_to_end().await;
+            }
+            if !self.is_unreached(&ended, run) {
+                return Ok(self.finish_answer(run, ended.outcome));
             }
+            unreached.spent_attempts = ended.arrived_calls as u32;
+            unreached.not_run = ended.outcome.kind == OutcomeKind::NotRun;
+        }
+        if run.admitted.suspicion == Suspicion::Suspected {
+            self.tier.quarantine.lock().unwrap().release_probe(run.fingerprint);
+        }
+        if !is_callers {
+            return Err(unreached);
         }
+        let result = self.forward(run, unreached).await;
+        if result.is_err() {
+            self.tier.counters.count_outcome(OutcomeKind::NotRun);
+        }
+        result
     }
 
     /// Admits the request, or returns the local answer if there is no configuration or entry, or if
@@ -175,48 +300,120 @@
         Ok(Admitted { entry: entry.clone(), deadline, suspicion })
     }
 
-    async fn run_query(
-        &self,
-        req: Arc<OpaqueRequest>,
-        fingerprint: Fingerprint,
-        view: Arc<OpaqueView>,
-        admitted: Admitted,
-        arrived_at: Instant,
-    ) -> OpaqueAnswer {
-        let Admitted { entry: opaque_entry, deadline, suspicion } = admitted;
-        let entry = &opaque_entry.entry;
-        let snapshot = self.pin(&opaque_entry, &view);
+    /// Runs a request on leafs that this host calls. Ends it early if this host is found to be cut
+    /// off and the request may run again.
+    async fn run_here(&self, run: &Run) -> Ended {
+        let Admitted { entry: opaque_entry, deadline, suspicion } = &run.admitted;
+        let entry = entry_for(opaque_entry, run.source);
         let plan = QueryPlan {
             id: self.tier.next_query_id(),
             entry: entry.clone(),
-            snapshot: Arc::new(snapshot),
+            snapshot: Arc::new(self.pin(opaque_entry, &run.view)),
             hits: opaque_entry.top,
-            deadline,
-            target_at: entry.goal.map(|goal| latest_send_time(goal, arrived_at)),
+            deadline: *deadline,
+            target_at: entry.goal.map(|goal| latest_send_time(goal, run.arrived_at)),
             first_attempt: Attempt(0),
-            suspicion,
+            suspicion: *suspicion,
             any_answer_clears: true,
         };
-        let mut driver = self.new_driver(&req, fingerprint, &view, entry, plan);
+        let mut driver = self.new_driver(run, &entry, plan);
         // This future never completes: a caller that disconnects drops the future of `answer`.
         let mut disconnected = std::pin::pin!(std::future::pending::<()>());
         let mut ends_early = self.ends_early.subscribe();
+        let mut cut_off = self.tier.cut_off.subscribe();
         driver.start();
         loop {
+            // The senders are part of this coordinator and of the tier, so that the waits cannot
+            // fail.
             tokio::select! {
                 step = driver.step(disconnected.as_mut()) => if step != Step::Open { break },
-                // The sender is part of this coordinator, so that the wait cannot fail.
                 _ = ends_early.wait_for(|ends_early| *ends_early) => {
                     driver.end_early();
                     break;
                 }
+                _ = cut_off.wait_for(|cut_off| *cut_off), if entry.idempotent => {
+                    driver.end_early();
+                    break;
+                }
             }
         }
+        let arrived_calls = driver.most_arrived_calls();
         let outcome = driver.query.take_outcome();
-        if suspicion == Suspicion::Suspected && outcome.kind == OutcomeKind::NotRun {
-            self.tier.quarantine.lock().unwrap().release_probe(fingerprint);
+        if *suspicion == Suspicion::Suspected && outcome.kind == OutcomeKind::NotRun {
+            self.tier.quarantine.lock().unwrap().release_probe(run.fingerprint);
+        }
+        Ended { outcome, arrived_calls }
+    }
+
+    /// Waits until it is decided whether this host is cut off, if that is in doubt.
+    async fn wait_for_doubt_to_end(&self) {
+        if self.tier.reach.lock().unwrap().is_refused_by_several() {
+            let mut cut_off = self.tier.cut_off.subscribe();
+            // After this time, the host counts as not cut off.
+            let _ = tokio::time::timeout(DOUBT_TIME, cut_off.wait_for(|cut_off| *cut_off)).await;
+        }
+    }
+
+    /// Returns whether a request was not served because this host does not reach the leafs, and may
+    /// still be served by another one.
+    fn is_unreached(&self, ended: &Ended, run: &Run) -> bool {
+        let entry = &run.admitted.entry.entry;
+        let now = Instant::now();
+        let is_cut_off = self.tier.is_cut_off();
+        let may_pass_on = now < run.admitted.deadline
+            && ended.arrived_calls < entry.attempts
+            && (is_cut_off || self.keeps_until.lock().unwrap().is_none_or(|until| now >= until));
+        let has_no_leaf = ended.outcome.reason == Reason::ReplicasLost && ended.arrived_calls == 0;
+        may_pass_on
+            && match ended.outcome.kind {
+                OutcomeKind::Complete | OutcomeKind::Partial => false,
+                OutcomeKind::NotRun => is_cut_off || has_no_leaf,
+                OutcomeKind::Unknown => is_cut_off && entry.idempotent,
+            }
+    }
+
+    /// Passes a request on to another host.
+    async fn forward(&self, run: &Run, unreached: Unreached) -> Result<OpaqueAnswer, Unreached> {
+        let Some(forwarder) = self.forwarder.get() else { return Err(unreached) };
+        let entry = &run.admitted.entry.entry;
+        let forwarding = Forwarding {
+            req: &run.req,
+            idempotent: entry.idempotent,
+            arrived_at: run.arrived_at,
+            deadline: run.admitted.deadline,
+            attempts: (entry.attempts as u32).saturating_sub(unreached.spent_attempts),
+        };
+        let outcome = forwarder.forward(forwarding).await;
+        let is_served = match &outcome {
+            ForwardOutcome::Answered(answer) => answer_status(answer).is_success(),
+            ForwardOutcome::NotTaken | ForwardOutcome::AnswerLost => false,
+        };
+        if !is_served && !self.tier.is_cut_off() {
+            *self.keeps_until.lock().unwrap() = Some(Instant::now() + KEEP_TIME);
         }
-        self.finish_answer(&req, &view, &opaque_entry, outcome, arrived_at)
+        match outcome {
+            ForwardOutcome::Answered(answer) => {
+                self.record_forwarded(run, &answer);
+                Ok(answer)
+            }
+            ForwardOutcome::NotTaken => Err(unreached),
+            ForwardOutcome::AnswerLost => Err(Unreached { not_run: false, ..unreached }),
+        }
+    }
+
+    fn record_forwarded(&self, run: &Run, answer: &OpaqueAnswer) {
+        let (status, elapsed) = (answer_status(answer), run.arrived_at.elapsed());
+        let entry = run.admitted.entry.entry.name.as_str();
+        let kind = if status.is_success() { OutcomeKind::Complete } else { OutcomeKind::Unknown };
+        self.metrics.record_answer(entry, kind, elapsed);
+        log_event!(
+            info,
+            Event::RequestForwarded,
+            request = run.req.id.to_str().unwrap_or_default(),
+            entry,
+            status = status.as_u16(),
+            elapsed_ms = elapsed.as_millis() as u64
+        );
     }
 
     /// Returns the leafs to call under the configuration in force: all groups of a scatter-gather
@@ -257,14 +454,8 @@
         weights[entry_picker.picker.pick()].group
     }
 
-    fn new_driver(
-        &self,
-        req: &Arc<OpaqueRequest>,
-        fingerprint: Fingerprint,
-        view: &OpaqueView,
-        entry: &Arc<Entry>,
-        plan: QueryPlan,
-    ) -> Driver<LeafResponse> {
+    fn new_driver(&self, run: &Run, entry: &Arc<Entry>, plan: QueryPlan) -> Driver<LeafResponse> {
+        let Run { req, fingerprint, view, .. } = run;
         let (tx, rx) = mpsc::unbounded_channel();
         let latency = self.tier.latency_tracker(&entry.index, Instant::now());
         let work_times = {
@@ -280,7 +471,7 @@
             class: entry.class,
             relayed: None,
             request: Some(req.id.to_str().unwrap_or_default().into()),
-            crash_detector_fingerprint: Some(fingerprint),
+            crash_detector_fingerprint: Some(*fingerprint),
             answered: AtomicBool::new(false),
             max_idle: max_idle(entry.idempotent),
             charge: None,
@@ -293,14 +484,9 @@
     }
 
     /// Builds the answer, counts it and logs it.
-    fn finish_answer(
-        &self,
-        req: &OpaqueRequest,
-        view: &OpaqueView,
-        opaque_entry: &OpaqueEntry,
-        outcome: Outcome<LeafResponse>,
-        arrived_at: Instant,
-    ) -> OpaqueAnswer {
+    fn finish_answer(&self, run: &Run, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
+        let Run { req, view, arrived_at, .. } = run;
+        let opaque_entry = &*run.admitted.entry;
         let elapsed = arrived_at.elapsed();
         let (kind, reason) = (outcome.kind, outcome.reason);
         let (shards, merged, calls) = (outcome.shards, outcome.parts.len(), outcome.calls);
@@ -328,6 +514,22 @@
     }
 }
 
+/// Returns the entry with the number of calls to one shard that the request's source allows.
+fn entry_for(opaque_entry: &OpaqueEntry, source: Source) -> Arc<Entry> {
+    let entry = &opaque_entry.entry;
+    match source {
+        Source::Host { attempts } if (attempts as usize) < entry.attempts => {
+            let attempts = (attempts as usize).max(1);
+            Arc::new(Entry { attempts, ..Entry::clone(entry) })
+        }
+        Source::Caller | Source::Host { .. } => entry.clone(),
+    }
+}
+
+fn unreachable_refusal() -> LocalAnswer {
+    LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "No leaf can be reached")
+}
+
 fn answer_status(answer: &OpaqueAnswer) -> StatusCode {
     match answer {
         OpaqueAnswer::PassedThrough(response) => response.status,
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -360,6 +360,18 @@
         std::mem::take(&mut self.broken_calls)
     }
 
+    /// Returns the largest number of calls to one shard for which `counts` holds.
+    pub fn most_calls_to_one_shard(&self, counts: impl Fn(Attempt) -> bool) -> usize {
+        let first = self.plan.first_attempt.0;
+        let mut by_shard = vec![0; self.shards.len()];
+        for (index, call) in self.calls.iter().enumerate() {
+            if counts(Attempt(first + index as u32)) {
+                by_shard[usize::from(call.shard.0)] += 1;
+            }
+        }
+        by_shard.into_iter().max().unwrap_or_default()
+    }
+
     /// Returns the number of replies that were dropped because they matched no open call.
     pub fn unmatched_replies(&self) -> u32 {
         self.unmatched_replies
--- a/lib/src/reach_monitor.rs
+++ b/lib/src/reach_monitor.rs
@@ -6,10 +6,8 @@
 
 use rand::seq::IteratorRandom;
 
-use crate::events::Event;
 use crate::held_connection::check_leaf;
 use crate::leaf::LeafTable;
-use crate::log_event;
 use crate::opaque_view::ViewCell;
 use crate::tier::Tier;
 
@@ -24,31 +22,55 @@
 
 /// Checks for cuts for as long as the process runs.
 pub async fn run(tier: Arc<Tier>, views: Arc<ViewCell>) {
-    let mut checked_at = Instant::now();
-    let mut probed_at = checked_at;
+    let mut monitor = Monitor { tier, checked_at: Instant::now(), probed_at: None, was_cut: false };
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let now = Instant::now();
-        let was_paused = now.saturating_duration_since(checked_at) > PAUSE_TIME;
-        checked_at = now;
-        if was_paused {
-            tier.reach.lock().unwrap().forget_attempts();
-        }
-        let leafs = views.get().leafs.clone();
+        monitor.check(&views.get().leafs, Instant::now());
+    }
+}
+
+struct Monitor {
+    tier: Arc<Tier>,
+    checked_at: Instant,
+    probed_at: Option<Instant>,
+    /// Whether this host was cut off at the last check.
+    was_cut: bool,
+}
+
+impl Monitor {
+    fn check(&mut self, leafs: &LeafTable, now: Instant) {
+        let pause = now.saturating_duration_since(self.checked_at);
+        self.checked_at = now;
         let listed = leafs.iter().count();
-        let is_new_cut = tier.reach.lock().unwrap().detect_cut(listed, now);
+        let (is_new_cut, is_suspected) = {
+            let mut reach = self.tier.reach.lock().unwrap();
+            if pause > PAUSE_TIME {
+                reach.forget_attempts();
+            }
+            (reach.detect_cut(listed, now), reach.is_suspected(listed, now))
+        };
         if is_new_cut {
-            tier.counters.cuts.increment();
-            log_event!(warn, Event::LeafsUnreachable, leafs = listed);
+            self.tier.record_cut(listed);
+            close_idle_connections(leafs, now);
+        }
+        let is_cut = self.tier.is_cut_off();
+        if self.was_cut && !is_cut {
+            leafs.iter().for_each(|leaf| leaf.state().estimates.forget_losses());
         }
-        let is_cut_off = tier.reach.lock().unwrap().is_cut_off();
-        if is_cut_off && now.saturating_duration_since(probed_at) >= PROBE_INTERVAL {
-            probed_at = now;
-            probe(&tier, &leafs);
+        self.was_cut = is_cut;
+        let probed_ago = self.probed_at.map(|at| now.saturating_duration_since(at));
+        if (is_cut || is_suspected) && probed_ago.is_none_or(|ago| ago >= PROBE_INTERVAL) {
+            self.probed_at = Some(now);
+            probe(&self.tier, leafs);
         }
     }
 }
 
+/// Closes connections that may never answer again, even after the cut.
+fn close_idle_connections(leafs: &LeafTable, now: Instant) {
+    leafs.iter().for_each(|leaf| leaf.pool.close_idle(Duration::ZERO, now));
+}
+
 /// Tries to connect to some leafs; a success is recorded as a contact.
 fn probe(tier: &Arc<Tier>, leafs: &LeafTable) {
     for leaf in leafs.iter().choose_multiple(&mut rand::rng(), PROBED_LEAFS) {
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -18,7 +18,9 @@
 
 use serde::Serialize;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
+use crate::backend::BackendError;
 use crate::backend::LeafBackend;
 use crate::budget::ExtraLoadBudget;
 use crate::call_reports::CallOutcome;
@@ -140,8 +142,10 @@
     pub zone_rtts: Mutex<ZoneRtts>,
     /// Unanswered calls, which may turn out to have crashed their leafs.
     pub crash_detector: Mutex<CrashDetector>,
-    /// Whether this host is cut off from the leafs.
+    /// What this host observes of all leafs together.
     pub reach: Mutex<LeafReach>,
+    /// Whether this host is cut off from the leafs, as `reach` found.
+    pub cut_off: watch::Sender<bool>,
     /// Notified when the crash detector has recorded an unanswered call.
     pub call_unanswered: Notify,
     /// Reports of this host's leaf calls that are not yet sent to the zone's other hosts. Set only
@@ -175,6 +179,7 @@
             zone_rtts: Mutex::new(zone_rtts),
             crash_detector: Mutex::default(),
             reach: Mutex::default(),
+            cut_off: watch::Sender::new(false),
             call_unanswered: Notify::new(),
             suspects_changed: Notify::new(),
             call_reports: OnceLock::new(),
@@ -215,7 +220,9 @@
     /// Queues a report of a call to `leaf` for the zone's other hosts. Does nothing where hosts do
     /// not share such reports.
     pub fn queue_call_report(&self, leaf: &Leaf, seen: CallOutcome) {
-        if let Some(call_reports) = self.call_reports.get() {
+        if let Some(call_reports) = self.call_reports.get()
+            && !self.is_cut_off()
+        {
             call_reports.lock().unwrap().add(CallReport { leaf: leaf.hash, seen });
         }
     }
@@ -223,6 +230,9 @@
     /// Records a call that was not answered, which becomes evidence against its request if the leaf
     /// is found lost.
     pub fn track_unanswered_call(&self, call: UnansweredCall, check: LeafCheck, now: Instant) {
+        if self.is_cut_off() {
+            return;
+        }
         let crash = self.crash_detector.lock().unwrap().record_unanswered(call, check, now);
         match crash {
             Some(crash) => _ = self.record_crash(crash, LossCause::FoundBefore, now),
@@ -234,13 +244,48 @@
     pub fn record_leaf_contact(&self, now: Instant) {
         let cut_time = self.reach.lock().unwrap().record_contact(now);
         if let Some(cut_time) = cut_time {
+            self.cut_off.send_replace(false);
             log_event!(info, Event::LeafsReachable, cut_ms = cut_time.as_millis() as u64);
         }
     }
 
+    /// Records that a connection to a leaf could not be opened, or broke.
+    pub fn record_failed_connection(&self, leaf: LeafKey, error: &BackendError, now: Instant) {
+        let mut reach = self.reach.lock().unwrap();
+        match error {
+            BackendError::ConnectTimeout { .. } | BackendError::TooLarge { .. } => {
+                reach.record_attempt(leaf, now);
+            }
+            _ => reach.record_refusal(leaf, now),
+        }
+    }
+
+    /// Records that this host is cut off from the leafs. What it has observed of single leafs since
+    /// then says nothing about them, and is neither evidence against requests nor reported to other
+    /// hosts.
+    pub fn record_cut(&self, listed: usize) {
+        self.counters.cuts.increment();
+        self.crash_detector.lock().unwrap().clear();
+        if let Some(call_reports) = self.call_reports.get() {
+            call_reports.lock().unwrap().drain_all();
+        }
+        self.cut_off.send_replace(true);
+        log_event!(warn, Event::LeafsUnreachable, leafs = listed);
+    }
+
+    /// Returns whether this host is cut off from the leafs.
+    pub fn is_cut_off(&self) -> bool {
+        *self.cut_off.borrow()
+    }
+
     /// Records that an incarnation of a leaf was found lost, and suspects the requests that ran on
-    /// it.
+    /// it. While this host is cut off or may be, only the platform's list shows that a leaf is lost.
     pub fn record_lost_leaf(&self, leaf: LeafKey, cause: LossCause, now: Instant) {
+        let may_be_cut_off =
+            || self.is_cut_off() || self.reach.lock().unwrap().is_refused_by_several();
+        if cause != LossCause::Unlisted && may_be_cut_off() {
+            return;
+        }
         let crashes = self.crash_detector.lock().unwrap().record_lost_leaf(leaf, now);
         crashes.into_iter().for_each(|crash| _ = self.record_crash(crash, cause, now));
     }
--- a/lib/tests/test_leaf_reach.rs
+++ b/lib/tests/test_leaf_reach.rs
@@ -58,3 +58,28 @@
     reach.forget_attempts();
     assert!(!reach.detect_cut(30, now + 5_000 * MS));
 }
+
+#[test]
+fn host_is_cut_off_soon_if_several_leafs_refuse_it() {
+    let now = Instant::now();
+    let mut reach = LeafReach::default();
+    call(&mut reach, 0..9, now);
+    assert!(!reach.is_refused_by_several());
+    (0..3).for_each(|leaf| reach.record_refusal(LeafKey(leaf), now + 10 * MS));
+    assert!(reach.is_refused_by_several() && reach.is_suspected(30, now + 10 * MS));
+    assert!(!reach.detect_cut(30, now + 69 * MS));
+    assert!(reach.detect_cut(30, now + 70 * MS));
+}
+
+/// Guards against a call that ran and is counted as not arrived, so that one leaf too many is called.
+#[test]
+fn only_calls_written_well_after_the_last_contact_did_not_arrive() {
+    let now = Instant::now();
+    let mut reach = LeafReach::default();
+    reach.record_contact(now);
+    assert!(reach.may_have_arrived(now + 500 * MS), "there is no cut");
+    call(&mut reach, 0..9, now + 20 * MS);
+    assert!(reach.detect_cut(30, now + 400 * MS));
+    assert!(reach.may_have_arrived(now + 100 * MS));
+    assert!(!reach.may_have_arrived(now + 101 * MS));
+}
