http_leaf: bound the bytes that a leaf may send before and in a response

What callers would see: a leaf that sends interim (1xx) responses without end kept its connection and the call busy until the caller's deadline, and any number of bodies of up to 4 MiB could be read at the same time, above the memory of a small host. A body that is too large counted as a broken connection, which makes the request suspected of crashing leafs.

Cause: only the content of one body was bounded. Heads were bounded by the HTTP library's own 400 KB, interim responses by nothing.

Now at most 64 KiB are read until the head of a response is complete, 4 MiB of content and 1 MiB of framing after it, and the bodies over 64 KiB that are read at the same time share 24 MiB. Beyond that the connection is closed and the call counts as failed, not as broken, and as a contact with the leaf. The time is bounded as before, by the call's deadline; a slow call is hedged.

--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -69,6 +69,22 @@
         matches!(self, Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent { .. })
     }
 
+    /// Returns whether the leaf sent more bytes than a response may have, which shows that it runs.
+    pub fn is_endless(&self) -> bool {
+        let is_invalid = |source: &(dyn std::error::Error + 'static)| {
+            let io = source.downcast_ref::<std::io::Error>();
+            io.is_some_and(|e| e.kind() == std::io::ErrorKind::InvalidData)
+        };
+        match self {
+            Self::TooLarge { .. } => true,
+            Self::Broken { source, .. } => {
+                let first: &(dyn std::error::Error + 'static) = source.as_ref();
+                std::iter::successors(Some(first), |e| e.source()).any(is_invalid)
+            }
+            _ => false,
+        }
+    }
+
     /// Returns whether the connection was refused: no process listens at the leaf's address.
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { source, .. }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -250,6 +250,7 @@
             Some(Err(e)) => {
                 let loss = match self.cx.crash_detector_fingerprint {
                     _ if e.proves_not_sent() => CallLoss::NotSent,
+                    _ if e.is_endless() => CallLoss::Garbled,
                     None => CallLoss::Broken,
                     Some(_) if self.send.is_probe => CallLoss::Broken,
                     // A leaf that is at its connection limit breaks many new connections.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -81,7 +81,7 @@
             incarnation: Tier::new_incarnation(),
         };
         let tickets = TicketTable::new(identity.host.clone(), identity.incarnation, now);
-        let backend = Box::new(HttpLeafBackend { local: settings.local_ip() });
+        let backend = Box::new(HttpLeafBackend::with_local_address(settings.local_ip()));
         let relay_client = HttpClient::with_local_address(settings.local_ip());
         let relays = RelayLinks::new(relay_client, KeyRing::new(settings.peer_keys.clone()));
         let tier = Arc::new(Tier::new(identity, backend, Arc::new(relays)));
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -273,7 +273,7 @@
         zone: settings.zone.clone(),
         incarnation: Tier::new_incarnation(),
     };
-    let backend = Box::new(HttpLeafBackend { local: Some(settings.callers.ip()) });
+    let backend = Box::new(HttpLeafBackend::with_local_address(Some(settings.callers.ip())));
     // Calls go to leafs directly, so that no relays are needed.
     let relays = RelayLinks::new(HttpClient::default(), KeyRing::new(Vec::new()));
     let mut tier = Tier::new(identity, backend, Arc::new(relays));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod connection_activity;
 pub mod answer;
+pub mod answer_bytes;
 pub mod backend;
 pub mod leaf_estimates;
 pub mod budget;
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -253,9 +253,9 @@
     pub fn record_failed_connection(&self, leaf: LeafKey, error: &BackendError, now: Instant) {
         let mut reach = self.reach.lock().unwrap();
         match error {
-            BackendError::ConnectTimeout { .. } | BackendError::TooLarge { .. } => {
-                reach.record_attempt(leaf, now);
-            }
+            BackendError::ConnectTimeout { .. } => reach.record_attempt(leaf, now),
+            // The leaf has sent bytes, if not an answer.
+            error if error.is_endless() => {}
             _ => reach.record_refusal(leaf, now),
         }
     }
