test_relays: query each host before the pause that fills its limit

every_host_answers_completely_within_the_connection_limits_of_leafs failed at times beside busy processes: a host creates an entry's token bucket at its first query, with one token, so that the pause before the first query filled nothing and 20 queries within 13 ms found it empty.

One query to each host before the pause creates the buckets; what the test checks afterwards is unchanged.

--- a/cli/tests/test_relays.rs
+++ b/cli/tests/test_relays.rs
@@ -35,8 +35,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_answers_completely_within_the_connection_limits_of_leafs() {
     let bed = TestBed::start(DAEMON, scarce_connection_fleet(), 6).await;
-    // A host's share of an entry's rate limit starts with a credit of one query, so that a restart
-    // causes no burst. The pause lets the credit grow, here by 1,500 queries a second.
+    // A host's share of an entry's rate limit starts with a credit of one query at the first query,
+    // so that a restart causes no burst. The pause lets the credit grow, here by 1,500 queries a
+    // second.
+    for number in 0..6 {
+        let (_, answer) = bed.query(number, lookup()).await;
+        assert_consistent(&answer);
+    }
     tokio::time::sleep(Duration::from_millis(100)).await;
     let refused_before = bed.fleet.record.totals().refused_connections;
     let queries = (0..120).map(|n| bed.query(n % 6, lookup()));
