tests: the soak limits leafs and makes all of them unreachable

Two faults more: a leaf names a limit of requests, also 0 or one that cannot be read, and the links to all leafs reset connections for a while, so that no host reaches any.

--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -216,7 +216,10 @@
 
     /// Ends all faults of the leafs, the store and the network.
     pub fn heal(&self) {
-        self.leafs.iter().for_each(|leaf| leaf.set_behaviour(Behaviour::Normal));
+        for leaf in &self.leafs {
+            leaf.set_behaviour(Behaviour::Normal);
+            leaf.set_limit(None);
+        }
         self.store.set_fault(store::StoreFault::None);
         self.network.clear_faults();
     }
--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -56,6 +56,8 @@
     Behaviour::Truncated,
 ];
 
+/// Rate limits that leafs name, of which one cannot be read.
+const LIMITS: [Option<&str>; 5] = [None, Some("0"), Some("4.5"), Some("40"), Some("many")];
 const FAULTS: [Fault; 6] = [
     Fault::None,
     Fault::Delay(Duration::from_millis(15)),
@@ -237,7 +239,7 @@
     version: &mut u64,
 ) -> String {
     let daemon = rng.random_range(1..DAEMONS);
-    match rng.random_range(0..12) {
+    match rng.random_range(0..15) {
         0..3 => {
             let leaf = bed.leafs.choose(rng).expect("there are leafs");
             let behaviour = *BEHAVIOURS.choose(rng).expect("there are behaviours");
@@ -287,6 +289,21 @@
             bed.set_network_fault(bed.store.addr, fault);
             format!("the network in front of the store has fault {fault:?}")
         }
+        11 => {
+            let leaf = bed.leafs.choose(rng).expect("there are leafs");
+            let limit = *LIMITS.choose(rng).expect("there are limits");
+            leaf.set_limit(limit);
+            format!("leaf {} names the limit {limit:?}", leaf.instance)
+        }
+        12 => {
+            for leaf in &bed.leafs {
+                bed.set_network_fault(leaf.addr, Fault::Reset);
+            }
+            tokio::time::sleep(STEP).await;
+            bed.heal();
+            "the network in front of all leafs resets connections, then all faults are ended"
+                .to_owned()
+        }
         _ => {
             bed.heal();
             "all faults are ended".to_owned()
