lib: smaller modules for answers, forwarding and watched connections

Code is moved, not changed: opaque_answer builds answers, opaque_forwarding decides on passing requests on, watched_stream serves the callers' and the leafs' connections, which had the same wrapper twice. leaf_limits is called limit_records, and some names say more.

--- a/lib/src/call_records.rs
+++ b/lib/src/call_records.rs
@@ -13,9 +13,9 @@
 use crate::crash_detector::UnansweredCall;
 use crate::error_text::with_sources;
 use crate::events::Event;
-use crate::leaf_limits;
 use crate::leaf_protocol::LeafReply;
 use crate::leaf_protocol::LeafStatus;
+use crate::limit_records;
 use crate::log_event;
 
 impl<P: Send + 'static> Call<P> {
@@ -79,7 +79,7 @@
     pub(crate) fn record_named_limit(&self, reply: &LeafReply<P>, now: Instant) {
         // A misdirected call was answered by another leaf.
         if reply.status != LeafStatus::Misdirected {
-            leaf_limits::record_named(&self.cx.tier, &self.leaf, &reply.limit, now);
+            limit_records::record_named(&self.cx.tier, &self.leaf, &reply.limit, now);
         }
     }
 
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -5,17 +5,12 @@
 //! caller disconnects, which cancels its calls.
 
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -34,9 +29,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -55,6 +47,7 @@
 use crate::opaque_view::ViewCell;
 use crate::request_forwarder::RequestForwarder;
 use crate::socket;
+use crate::watched_stream::WatchedStream;
 
 /// Longest time that reading the body of a request may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -167,7 +160,13 @@
         // takes longer to detect a caller that no longer responds.
         let _ = stream.set_nodelay(true).and_then(|()| socket::enable_keepalive(&stream));
         let activity = Arc::new(Mutex::new(ConnectionActivity::new(Instant::now())));
-        let io = TokioIo::new(MonitoredStream { stream, activity: activity.clone() });
+        let monitored = activity.clone();
+        let io = TokioIo::new(WatchedStream::new(stream, move |bytes| {
+            if bytes > 0 {
+                monitored.lock().unwrap().record_read(Instant::now());
+            }
+            Ok(())
+        }));
         let service = service_fn(|req| self.handle(req, &activity));
         let buffer = self.limits().head_bytes.max(MIN_BUFFER_BYTES);
         let conn = http1::Builder::new().max_buf_size(buffer).serve_connection(io, service);
@@ -286,54 +285,3 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Caller's socket that records when bytes are read.
-struct MonitoredStream {
-    stream: TcpStream,
-    activity: Arc<Mutex<ConnectionActivity>>,
-}
-
-impl AsyncRead for MonitoredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
-            self.activity.lock().unwrap().record_read(Instant::now());
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for MonitoredStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -18,7 +18,6 @@
 
 use crate::answer_bytes::BodyMemory;
 use crate::answer_bytes::ByteAllowance;
-use crate::answer_bytes::MeteredStream;
 use crate::backend::BackendError;
 use crate::backend::BoxFuture;
 use crate::backend::LeafBackend;
@@ -26,6 +25,7 @@
 use crate::backend::OpenedConnection;
 use crate::backend::Result;
 use crate::socket;
+use crate::watched_stream::WatchedStream;
 
 /// Largest response body that is read from a leaf, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -97,7 +97,8 @@
         let stream = stream.map_err(|source| BackendError::Connect { peer, source })?;
         let connect_time = started.elapsed();
         let allowance = ByteAllowance::default();
-        let stream = MeteredStream::new(stream, allowance.clone());
+        let left = allowance.clone();
+        let stream = WatchedStream::new(stream, move |bytes| left.take(bytes));
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/lib/src/limit_link.rs
+++ b/lib/src/limit_link.rs
@@ -25,11 +25,11 @@
 use crate::fleet_link::encode;
 use crate::ids::LeafHash;
 use crate::leaf::Leaf;
-use crate::leaf_limits;
 use crate::limit_division::Demand;
 use crate::limit_division::LimitDivider;
 use crate::limit_division::PART_LIFETIME;
 use crate::limit_division::Part;
+use crate::limit_records;
 use crate::log_event;
 use crate::rate_limit::LimitObservation;
 use crate::rate_limit::RequestRate;
@@ -138,7 +138,7 @@
         if limited.is_empty() {
             return by_divider;
         }
-        limited.iter().for_each(|leaf| leaf_limits::update_rank(&self.tier, leaf, now));
+        limited.iter().for_each(|leaf| limit_records::update_rank(&self.tier, leaf, now));
         let mut avoided = self.avoided.lock().unwrap();
         avoided.retain(|_, until| now < *until);
         let fleet = self.cluster_state.fleet.lock().unwrap();
@@ -203,7 +203,7 @@
 
     fn apply_part(&self, leaf: &Leaf, part: Part, requested_at: Instant) {
         let now = Instant::now();
-        leaf_limits::merge_observation(&self.tier, leaf, part.observation, now);
+        limit_records::merge_observation(&self.tier, leaf, part.observation, now);
         if let Some(rate) = part.rate {
             leaf.state().limiter.set_part(rate, requested_at + PART_LIFETIME, now);
         }
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -14,7 +14,6 @@
 use tokio::sync::watch;
 
 use crate::answer::OutcomeKind;
-use crate::answer::Reason;
 use crate::call_context::CallContext;
 use crate::call_context::max_idle;
 use crate::catalogue::Entry;
@@ -35,9 +34,13 @@
 use crate::metrics::Metrics;
 use crate::opaque::LeafResponse;
 use crate::opaque::LocalAnswer;
-use crate::opaque::MergedAnswer;
 use crate::opaque::OpaqueAnswer;
 use crate::opaque::OpaqueRequest;
+use crate::opaque_answer::answer_status;
+use crate::opaque_answer::build_answer;
+use crate::opaque_answer::unanswered_response;
+use crate::opaque_answer::unreachable_refusal;
+use crate::opaque_answer::with_jitter;
 use crate::opaque_catalogue::OpaqueEntry;
 use crate::opaque_catalogue::Target;
 use crate::opaque_view::OpaqueView;
@@ -47,26 +50,14 @@
 use crate::quarantine::Decision;
 use crate::query::Query;
 use crate::query_outcome::Outcome;
-use crate::records;
-use crate::request_forwarder::ForwardOutcome;
-use crate::request_forwarder::Forwarding;
 use crate::request_forwarder::RequestForwarder;
 use crate::retry_after;
-use crate::retry_after::LOST_LEAFS_RETRY;
-use crate::retry_after::OTHER_HOST_RETRY;
 use crate::tier::Tier;
 use crate::weighted_round_robin::WeightedRoundRobin;
 
 /// Assumed processing time of a leaf call before enough calls were measured.
 const DEFAULT_WORK: Duration = Duration::from_millis(8);
 
-/// Time for which no request is passed on after another host could not serve one either.
-const KEEP_TIME: Duration = Duration::from_secs(1);
-
-/// Longest time for which a request that was not served waits until it is decided whether this host
-/// is cut off.
-const DOUBT_TIME: Duration = Duration::from_millis(130);
-
 /// Creates the codecs of requests.
 pub trait CodecFactory: Send + Sync {
     /// Returns the codec that encodes the calls of `req` and decodes their replies.
@@ -75,24 +66,24 @@
 
 /// Coordinates opaque requests on the state that this process shares between them.
 pub struct OpaqueCoordinator {
-    tier: Arc<Tier>,
+    pub(crate) tier: Arc<Tier>,
     views: Arc<ViewCell>,
     codecs: Box<dyn CodecFactory>,
     budget: Arc<Mutex<FleetBudget>>,
-    metrics: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     pickers: Mutex<HashMap<EntryName, EntryPicker>>,
     /// Whether queries end before their outcome is decided, as the process is about to exit.
     ends_early: watch::Sender<bool>,
     /// Passes requests on to other hosts; if it is not set, none is passed on.
-    forwarder: OnceLock<Box<dyn RequestForwarder>>,
+    pub(crate) forwarder: OnceLock<Box<dyn RequestForwarder>>,
     /// Until when requests are not passed on while this host reaches leafs, as another host could
     /// not serve one either.
-    keeps_until: Mutex<Option<Instant>>,
+    pub(crate) no_forwarding_until: Mutex<Option<Instant>>,
 }
 
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
+pub(crate) enum Source {
     /// A caller. The request may be passed on to another host.
     Caller,
     /// Another host, which allows this number of calls to each shard.
@@ -115,20 +106,20 @@
 }
 
 /// An admitted request.
-struct Run {
-    source: Source,
-    req: Arc<OpaqueRequest>,
-    fingerprint: Fingerprint,
-    view: Arc<OpaqueView>,
-    admitted: Admitted,
-    arrived_at: Instant,
+pub(crate) struct Run {
+    pub(crate) source: Source,
+    pub(crate) req: Arc<OpaqueRequest>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) view: Arc<OpaqueView>,
+    pub(crate) admitted: Admitted,
+    pub(crate) arrived_at: Instant,
 }
 
 /// A query that has ended on this host.
-struct Ended {
-    outcome: Outcome<LeafResponse>,
+pub(crate) struct Ended {
+    pub(crate) outcome: Outcome<LeafResponse>,
     /// Largest number of calls to one shard that may have reached a leaf.
-    arrived_calls: usize,
+    pub(crate) arrived_calls: usize,
 }
 
 impl Ended {
@@ -138,11 +129,11 @@
 }
 
 /// A request that may be sent to leafs.
-struct Admitted {
-    entry: Arc<OpaqueEntry>,
-    deadline: Instant,
+pub(crate) struct Admitted {
+    pub(crate) entry: Arc<OpaqueEntry>,
+    pub(crate) deadline: Instant,
     /// Whether the request is suspected of crashing leafs and runs as a probe first.
-    suspicion: Suspicion,
+    pub(crate) suspicion: Suspicion,
 }
 
 impl OpaqueCoordinator {
@@ -164,7 +155,7 @@
             pickers: Mutex::default(),
             ends_early: watch::Sender::new(false),
             forwarder: OnceLock::new(),
-            keeps_until: Mutex::default(),
+            no_forwarding_until: Mutex::default(),
         }
     }
 
@@ -241,7 +232,7 @@
         if !self.tier.is_cut_off() {
             let ended = self.run_here(run).await;
             if !ended.is_served() {
-                self.wait_for_doubt_to_end().await;
+                self.wait_until_cut_is_decided().await;
             }
             if !self.is_unreached(&ended, run) {
                 return Ok(self.finish_answer(run, ended.outcome));
@@ -345,77 +336,6 @@
         Ended { outcome, arrived_calls }
     }
 
-    /// Waits until it is decided whether this host is cut off, if that is in doubt.
-    async fn wait_for_doubt_to_end(&self) {
-        if self.tier.reach.lock().unwrap().is_refused_by_several() {
-            let mut cut_off = self.tier.cut_off.subscribe();
-            // After this time, the host counts as not cut off.
-            let _ = tokio::time::timeout(DOUBT_TIME, cut_off.wait_for(|cut_off| *cut_off)).await;
-        }
-    }
-
-    /// Returns whether a request was not served because this host does not reach the leafs, and may
-    /// still be served by another one.
-    fn is_unreached(&self, ended: &Ended, run: &Run) -> bool {
-        let entry = &run.admitted.entry.entry;
-        let now = Instant::now();
-        let is_cut_off = self.tier.is_cut_off();
-        let may_pass_on = now < run.admitted.deadline
-            && ended.arrived_calls < entry.attempts
-            && (is_cut_off || self.keeps_until.lock().unwrap().is_none_or(|until| now >= until));
-        let has_no_leaf = ended.outcome.reason == Reason::ReplicasLost && ended.arrived_calls == 0;
-        may_pass_on
-            && match ended.outcome.kind {
-                OutcomeKind::Complete | OutcomeKind::Partial => false,
-                OutcomeKind::NotRun => is_cut_off || has_no_leaf,
-                OutcomeKind::Unknown => is_cut_off && entry.idempotent,
-            }
-    }
-
-    /// Passes a request on to another host.
-    async fn forward(&self, run: &Run, unreached: Unreached) -> Result<OpaqueAnswer, Unreached> {
-        let Some(forwarder) = self.forwarder.get() else { return Err(unreached) };
-        let entry = &run.admitted.entry.entry;
-        let forwarding = Forwarding {
-            req: &run.req,
-            idempotent: entry.idempotent,
-            arrived_at: run.arrived_at,
-            deadline: run.admitted.deadline,
-            attempts: (entry.attempts as u32).saturating_sub(unreached.spent_attempts),
-        };
-        let outcome = forwarder.forward(forwarding).await;
-        let is_served = match &outcome {
-            ForwardOutcome::Answered(answer) => answer_status(answer).is_success(),
-            ForwardOutcome::NotTaken | ForwardOutcome::AnswerLost => false,
-        };
-        if !is_served && !self.tier.is_cut_off() {
-            *self.keeps_until.lock().unwrap() = Some(Instant::now() + KEEP_TIME);
-        }
-        match outcome {
-            ForwardOutcome::Answered(answer) => {
-                self.record_forwarded(run, &answer);
-                Ok(answer)
-            }
-            ForwardOutcome::NotTaken => Err(unreached),
-            ForwardOutcome::AnswerLost => Err(Unreached { not_run: false, ..unreached }),
-        }
-    }
-
-    fn record_forwarded(&self, run: &Run, answer: &OpaqueAnswer) {
-        let (status, elapsed) = (answer_status(answer), run.arrived_at.elapsed());
-        let entry = run.admitted.entry.entry.name.as_str();
-        let kind = if status.is_success() { OutcomeKind::Complete } else { OutcomeKind::Unknown };
-        self.metrics.record_answer(entry, kind, elapsed);
-        log_event!(
-            info,
-            Event::RequestForwarded,
-            request = run.req.id.to_str().unwrap_or_default(),
-            entry,
-            status = status.as_u16(),
-            elapsed_ms = elapsed.as_millis() as u64
-        );
-    }
-
     /// Returns the leafs to call under the configuration in force: all groups of a scatter-gather
     /// entry as shards, or one picked group of a traffic split as the only shard.
     fn pin(&self, opaque_entry: &OpaqueEntry, view: &OpaqueView) -> IndexSnapshot {
@@ -525,74 +445,3 @@
         Source::Caller | Source::Host { .. } => entry.clone(),
     }
 }
-
-fn unreachable_refusal() -> LocalAnswer {
-    LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "No leaf can be reached")
-}
-
-fn answer_status(answer: &OpaqueAnswer) -> StatusCode {
-    match answer {
-        OpaqueAnswer::PassedThrough(response) => response.status,
-        OpaqueAnswer::Merged(_) => StatusCode::OK,
-        OpaqueAnswer::Local(local) => local.status,
-    }
-}
-
-fn build_answer(opaque_entry: &OpaqueEntry, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
-    let is_merged = matches!(opaque_entry.target, Target::All(_));
-    match outcome.kind {
-        OutcomeKind::Complete | OutcomeKind::Partial if is_merged => {
-            merged_answer(opaque_entry, outcome)
-        }
-        OutcomeKind::Complete | OutcomeKind::Partial => {
-            let part = outcome.parts.into_iter().next();
-            part.map_or_else(unanswered_response, |(_, response)| {
-                OpaqueAnswer::PassedThrough(response)
-            })
-        }
-        OutcomeKind::NotRun => OpaqueAnswer::Local(refusal_of(&outcome)),
-        OutcomeKind::Unknown => match outcome.failure {
-            Some(failure) if !is_merged => OpaqueAnswer::PassedThrough(failure),
-            _ if outcome.reason == Reason::DeadlineExceeded => {
-                let message = "No answer came in time";
-                OpaqueAnswer::Local(LocalAnswer::new(StatusCode::GATEWAY_TIMEOUT, message))
-            }
-            _ => unanswered_response(),
-        },
-    }
-}
-
-fn unanswered_response() -> OpaqueAnswer {
-    let message = "Too few leafs answered; the request may have run";
-    OpaqueAnswer::Local(LocalAnswer::new(StatusCode::BAD_GATEWAY, message))
-}
-
-fn merged_answer(opaque_entry: &OpaqueEntry, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
-    let bodies = outcome.parts.iter().map(|(_, response)| &response.body);
-    let records = records::merge_greatest(bodies, opaque_entry.top);
-    let missing = outcome.shards - outcome.parts.len();
-    let signatures = outcome.parts.into_iter().filter_map(|(_, r)| r.signature).collect();
-    OpaqueAnswer::Merged(MergedAnswer { records, signatures, missing })
-}
-
-/// Returns the refusal of a request that has not run, with the time after which a resend may
-/// succeed.
-fn refusal_of(outcome: &Outcome<LeafResponse>) -> LocalAnswer {
-    match outcome.reason {
-        Reason::Overloaded => {
-            let wait = outcome.excess_wait.unwrap_or(LOST_LEAFS_RETRY);
-            LocalAnswer::refused(with_jitter(wait), "The leafs cannot take the request at present")
-        }
-        Reason::DeadlineExceeded => {
-            LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "No leaf could be reached in time")
-        }
-        Reason::NotReady => {
-            LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "The process is shutting down")
-        }
-        _ => LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "Too few leafs can be reached"),
-    }
-}
-
-fn with_jitter(wait: Duration) -> Duration {
-    retry_after::with_jitter(wait, &mut rand::rng())
-}
--- /dev/null
+++ b/lib/src/opaque_forwarding.rs
@@ -0,0 +1,103 @@
+//! Decides whether a request that this host could not serve is passed on to another one, and passes
+//! it on.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::answer::OutcomeKind;
+use crate::answer::Reason;
+use crate::events::Event;
+use crate::log_event;
+use crate::opaque::OpaqueAnswer;
+use crate::opaque_answer::answer_status;
+use crate::opaque_coordinator::Ended;
+use crate::opaque_coordinator::OpaqueCoordinator;
+use crate::opaque_coordinator::Run;
+use crate::opaque_coordinator::Unreached;
+use crate::request_forwarder::ForwardOutcome;
+use crate::request_forwarder::Forwarding;
+
+/// Time for which no request is passed on after another host could not serve one either.
+const NO_FORWARDING_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time for which a request that was not served waits until it is decided whether this host
+/// is cut off.
+const DOUBT_TIME: Duration = Duration::from_millis(130);
+
+impl OpaqueCoordinator {
+    /// Waits until it is decided whether this host is cut off, if that is in doubt.
+    pub(crate) async fn wait_until_cut_is_decided(&self) {
+        if self.tier.reach.lock().unwrap().is_refused_by_several() {
+            let mut cut_off = self.tier.cut_off.subscribe();
+            // After this time, the host counts as not cut off.
+            let _ = tokio::time::timeout(DOUBT_TIME, cut_off.wait_for(|cut_off| *cut_off)).await;
+        }
+    }
+
+    /// Returns whether a request was not served because this host does not reach the leafs, and may
+    /// still be served by another one.
+    pub(crate) fn is_unreached(&self, ended: &Ended, run: &Run) -> bool {
+        let entry = &run.admitted.entry.entry;
+        let now = Instant::now();
+        let is_cut_off = self.tier.is_cut_off();
+        let may_pass_on = now < run.admitted.deadline
+            && ended.arrived_calls < entry.attempts
+            && (is_cut_off
+                || self.no_forwarding_until.lock().unwrap().is_none_or(|until| now >= until));
+        let has_no_leaf = ended.outcome.reason == Reason::ReplicasLost && ended.arrived_calls == 0;
+        may_pass_on
+            && match ended.outcome.kind {
+                OutcomeKind::Complete | OutcomeKind::Partial => false,
+                OutcomeKind::NotRun => is_cut_off || has_no_leaf,
+                OutcomeKind::Unknown => is_cut_off && entry.idempotent,
+            }
+    }
+
+    /// Passes a request on to another host.
+    pub(crate) async fn forward(
+        &self,
+        run: &Run,
+        unreached: Unreached,
+    ) -> Result<OpaqueAnswer, Unreached> {
+        let Some(forwarder) = self.forwarder.get() else { return Err(unreached) };
+        let entry = &run.admitted.entry.entry;
+        let forwarding = Forwarding {
+            req: &run.req,
+            idempotent: entry.idempotent,
+            arrived_at: run.arrived_at,
+            deadline: run.admitted.deadline,
+            attempts: (entry.attempts as u32).saturating_sub(unreached.spent_attempts),
+        };
+        let outcome = forwarder.forward(forwarding).await;
+        let is_served = match &outcome {
+            ForwardOutcome::Answered(answer) => answer_status(answer).is_success(),
+            ForwardOutcome::NotTaken | ForwardOutcome::AnswerLost => false,
+        };
+        if !is_served && !self.tier.is_cut_off() {
+            *self.no_forwarding_until.lock().unwrap() = Some(Instant::now() + NO_FORWARDING_TIME);
+        }
+        match outcome {
+            ForwardOutcome::Answered(answer) => {
+                self.record_forwarded(run, &answer);
+                Ok(answer)
+            }
+            ForwardOutcome::NotTaken => Err(unreached),
+            ForwardOutcome::AnswerLost => Err(Unreached { not_run: false, ..unreached }),
+        }
+    }
+
+    fn record_forwarded(&self, run: &Run, answer: &OpaqueAnswer) {
+        let (status, elapsed) = (answer_status(answer), run.arrived_at.elapsed());
+        let entry = run.admitted.entry.entry.name.as_str();
+        let kind = if status.is_success() { OutcomeKind::Complete } else { OutcomeKind::Unknown };
+        self.metrics.record_answer(entry, kind, elapsed);
+        log_event!(
+            info,
+            Event::RequestForwarded,
+            request = run.req.id.to_str().unwrap_or_default(),
+            entry,
+            status = status.as_u16(),
+            elapsed_ms = elapsed.as_millis() as u64
+        );
+    }
+}
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -182,22 +182,6 @@
         self.finish_if_decided(now, out);
     }
 
-    /// Returns the time until `missing` more shards may be called, if rate limits of leafs are all
-    /// that keeps them from being called now.
-    fn limit_wait(
-        &self,
-        choices: &[Option<Choice>],
-        missing: usize,
-        now: Instant,
-        policy: &dyn Policy,
-    ) -> Option<Duration> {
-        let unchosen = self.shard_numbers().zip(choices).filter(|(_, choice)| choice.is_none());
-        let wait = |(shard, _)| policy.limit_wait(self.plan.snapshot.replicas(shard), now);
-        let mut waits: Vec<_> = unchosen.filter_map(wait).collect();
-        waits.sort_unstable();
-        waits.get(missing - 1).copied()
-    }
-
     /// Sends the chosen first calls. A suspected request sends only one, as a probe; the calls of
     /// the other shards follow when the leaf has replied to the probe.
     fn send_first_calls(
@@ -360,18 +344,6 @@
         std::mem::take(&mut self.broken_calls)
     }
 
-    /// Returns the largest number of calls to one shard for which `counts` holds.
-    pub fn most_calls_to_one_shard(&self, counts: impl Fn(Attempt) -> bool) -> usize {
-        let first = self.plan.first_attempt.0;
-        let mut by_shard = vec![0; self.shards.len()];
-        for (index, call) in self.calls.iter().enumerate() {
-            if counts(Attempt(first + index as u32)) {
-                by_shard[usize::from(call.shard.0)] += 1;
-            }
-        }
-        by_shard.into_iter().max().unwrap_or_default()
-    }
-
     /// Returns the number of replies that were dropped because they matched no open call.
     pub fn unmatched_replies(&self) -> u32 {
         self.unmatched_replies
--- a/lib/src/query_outcome.rs
+++ b/lib/src/query_outcome.rs
@@ -1,15 +1,19 @@
 //! Result of a query: its outcome, its coverage, and the merged payloads of the leafs.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::answer::Coverage;
 use crate::answer::OutcomeKind;
 use crate::answer::QueryAnswer;
 use crate::answer::Reason;
 use crate::answer::Refusal;
+use crate::ids::Attempt;
 use crate::ids::IndexVersion;
 use crate::ids::ShardNo;
 use crate::leaf_protocol::Hit;
+use crate::plan::Choice;
+use crate::plan::Policy;
 use crate::query::Query;
 
 /// The result of a query, before an interface turns it into a response.
@@ -51,6 +55,34 @@
         }
     }
 
+    /// Returns the largest number of calls to one shard for which `counts` holds.
+    pub fn most_calls_to_one_shard(&self, counts: impl Fn(Attempt) -> bool) -> usize {
+        let first = self.plan.first_attempt.0;
+        let mut by_shard = vec![0; self.shards.len()];
+        for (index, call) in self.calls.iter().enumerate() {
+            if counts(Attempt(first + index as u32)) {
+                by_shard[usize::from(call.shard.0)] += 1;
+            }
+        }
+        by_shard.into_iter().max().unwrap_or_default()
+    }
+
+    /// Returns the time until `missing` more shards may be called, if rate limits of leafs are all
+    /// that keeps them from being called now.
+    pub(crate) fn limit_wait(
+        &self,
+        choices: &[Option<Choice>],
+        missing: usize,
+        now: Instant,
+        policy: &dyn Policy,
+    ) -> Option<Duration> {
+        let unchosen = self.shard_numbers().zip(choices).filter(|(_, choice)| choice.is_none());
+        let wait = |(shard, _)| policy.limit_wait(self.plan.snapshot.replicas(shard), now);
+        let mut waits: Vec<_> = unchosen.filter_map(wait).collect();
+        waits.sort_unstable();
+        waits.get(missing - 1).copied()
+    }
+
     fn outcome(&self) -> OutcomeKind {
         let merged = self.parts.len();
         if merged == self.shards.len() {
