opaque_forwarding: log the end of a request that no host answers

What operators saw: a request refused because no host reaches the leafs had no last line in the log, which OPERATIONS promises for each id, and one whose forwarded answer was lost was counted as not run.

Cause: the path of a request that is passed on ended with a counter alone. It ends with event 500 now, with its true outcome. The class was looked for: requests that another host answers end with 506, and those given back to the host that passed them on end there.

The test fails without the change (no line within the wait) and passes with it. Answers to callers are unchanged.

--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -4,12 +4,13 @@
 pub mod leaf;
 pub mod store;
 
+use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,7 +85,9 @@
 
     fn spawn(settings: &PathBuf) -> Child {
         let mut command = Command::new(DAEMON);
-        command.arg("--edge").env("JASMINEUSHER_BOOT", settings).stdout(Stdio::null());
+        let log = File::options().append(true).create(true).open(log_path(settings));
+        let log = log.expect("the log can be written");
+        command.arg("--edge").env("JASMINEUSHER_BOOT", settings).stdout(log);
         command.spawn().expect("the daemon starts")
     }
 
@@ -96,6 +99,11 @@
         self.child = Self::spawn(&self.settings);
     }
 
+    /// Returns the log that the daemon has written so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(log_path(&self.settings)).expect("the log can be read")
+    }
+
     /// Sends SIGTERM, which starts a graceful shutdown.
     pub fn terminate(&self) {
         self.signal("TERM");
@@ -137,9 +145,14 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(log_path(&self.settings));
     }
 }
 
+fn log_path(settings: &Path) -> PathBuf {
+    settings.with_extension("log")
+}
+
 impl EdgeBed {
     /// Starts `shards` groups of `replicas` leafs each and `daemons` daemon processes, and waits
     /// until all daemons are ready. Fault-injecting proxies are in front of the leafs.
--- a/cli/tests/test_edge/unreachable_leafs.rs
+++ b/cli/tests/test_edge/unreachable_leafs.rs
@@ -132,4 +132,10 @@
         assert!(!answer.header("retry-after").is_empty());
         assert_eq!(bed.runs(id), 0);
     }
+    let (id, _) = sent.last().expect("requests were sent");
+    eventually("the log names the end of the request", async || {
+        let is_end = |line: &&str| line.contains(id) && line.contains("RequestAnswered");
+        daemons.iter().any(|daemon| daemon.log().lines().any(|line| is_end(&line))).then_some(())
+    })
+    .await;
 }
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -247,8 +247,8 @@
             return Err(unreached);
         }
         let result = self.forward(run, unreached).await;
-        if result.is_err() {
-            self.tier.counters.count_outcome(OutcomeKind::NotRun);
+        if let Err(unreached) = &result {
+            self.record_unreached(run, unreached);
         }
         result
     }
--- a/lib/src/opaque_forwarding.rs
+++ b/lib/src/opaque_forwarding.rs
@@ -86,6 +86,24 @@
         }
     }
 
+    /// Counts and logs the end of a request that no host has answered.
+    pub(crate) fn record_unreached(&self, run: &Run, unreached: &Unreached) {
+        let kind = if unreached.not_run { OutcomeKind::NotRun } else { OutcomeKind::Unknown };
+        let elapsed = run.arrived_at.elapsed();
+        let entry = run.admitted.entry.entry.name.as_str();
+        self.tier.counters.count_outcome(kind);
+        self.metrics.record_answer(entry, kind, elapsed);
+        log_event!(
+            info,
+            Event::RequestAnswered,
+            request = run.req.id.to_str().unwrap_or_default(),
+            entry,
+            outcome = ?kind,
+            reason = ?Reason::ReplicasLost,
+            elapsed_ms = elapsed.as_millis() as u64
+        );
+    }
+
     fn record_forwarded(&self, run: &Run, answer: &OpaqueAnswer) {
         let (status, elapsed) = (answer_status(answer), run.arrived_at.elapsed());
         let entry = run.admitted.entry.entry.name.as_str();
