--- a/bench/src/leaf.rs
+++ b/bench/src/leaf.rs
@@ -66,6 +66,10 @@
     pub cold_factor: f64,
     /// Refuses every call with status `draining`, and is listed as leaving.
     pub draining: bool,
+    /// Says in all answers that the leaf is leaving, but goes on serving calls.
+    pub says_leaving: bool,
+    /// Sheds every call, and names this time for which the leaf wants none.
+    pub retry_after_ms: Option<u64>,
     /// Is listed as leaving in the next host list, but goes on serving calls.
     pub listed_leaving: bool,
     /// Runs each call, then breaks the connection instead of answering.
@@ -89,6 +93,8 @@
             cold_calls: 0,
             cold_factor: 5.0,
             draining: false,
+            says_leaving: false,
+            retry_after_ms: None,
             listed_leaving: false,
             drops_answers: false,
             wrong_identity: false,
@@ -355,9 +361,9 @@
         if !self.replicas.lock().unwrap().contains_call(&req) {
             return Some(self.answer(&req, LeafStatus::VersionUnavailable, 0));
         }
-        if self.waiting.load(Ordering::Relaxed) >= behaviour.queue_limit
-            && self.slots.available_permits() == 0
-        {
+        let is_full = self.waiting.load(Ordering::Relaxed) >= behaviour.queue_limit
+            && self.slots.available_permits() == 0;
+        if is_full || behaviour.retry_after_ms.is_some() {
             self.record.update(|totals| totals.sheds += 1);
             return Some(self.answer(&req, LeafStatus::Shed, 0));
         }
@@ -429,12 +435,16 @@
             fields: None,
         };
         let count = if status == LeafStatus::Ok { HITS_PER_SHARD } else { 0 };
+        let behaviour = self.behaviour.lock().unwrap();
+        let is_shed = status == LeafStatus::Shed;
         LeafAnswer {
             call: req.call,
             status,
             effort_us,
             queued: self.waiting.load(Ordering::Relaxed),
             limit_per_s: None,
+            leaving: behaviour.says_leaving,
+            retry_after_ms: behaviour.retry_after_ms.filter(|_| is_shed),
             hits: (0..count).map(hit).collect(),
         }
     }
--- a/bench/src/peers.rs
+++ b/bench/src/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use jasmineusher_lib::distribution::Archive;
 use jasmineusher_lib::distribution::revisions;
@@ -103,6 +104,7 @@
             document.clone(),
             &self.shared.registry,
             &parse_name("host-1"),
+            Instant::now(),
         );
         peer_documents.view = next.expect("the bench publishes valid documents");
         peer_documents.archive.record_replacement(old.as_ref(), &document);
--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,6 +32,10 @@
     Slow(u64),
     /// Responds with status 503 and the header that guarantees that the request was not run.
     Shed,
+    /// Responds like [`Behaviour::Shed`] after this many milliseconds.
+    SlowShed(u64),
+    /// Responds with status 503 without that header.
+    Unavailable,
     /// Runs the request and resets the connection.
     ResetAfterRun,
     /// Runs the request and responds with status 500.
@@ -67,6 +72,11 @@
     runs: Mutex<HashMap<String, usize>>,
     /// Value of the header by which the leaf names its rate limit, if it names one.
     limit: Mutex<Option<String>>,
+    /// Whether the leaf says in all its responses that it is leaving.
+    is_leaving: AtomicBool,
+    /// Values of the header by which the leaf names how long it wants no requests; it accompanies
+    /// responses with status 503.
+    retry_after: Mutex<Vec<String>>,
     arrivals: Mutex<Vec<Instant>>,
     abandoned: AtomicUsize,
     /// Time of each crash. Its length is the number of the leaf's incarnation.
@@ -107,6 +117,8 @@
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             limit: Mutex::default(),
+            is_leaving: AtomicBool::default(),
+            retry_after: Mutex::default(),
             arrivals: Mutex::default(),
             abandoned: AtomicUsize::new(0),
             crashes: watch::Sender::default(),
@@ -196,6 +208,17 @@
         *self.limit.lock().unwrap() = limit.map(str::to_owned);
     }
 
+    /// Sets whether the leaf says from its next response on that it is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    /// Sets for how long the leaf wants no requests, as its next responses with status 503 name it;
+    /// one header for each value.
+    pub fn set_retry_after(&self, values: &[&str]) {
+        *self.retry_after.lock().unwrap() = values.iter().map(|v| (*v).to_owned()).collect();
+    }
+
     /// Returns how many slow requests the daemon abandoned by closing their connection.
     pub fn abandoned(&self) -> usize {
         self.abandoned.load(Ordering::Relaxed)
@@ -217,7 +240,11 @@
                 "the call carries no remaining time of at most 2 s"
             );
             let behaviour = *self.behaviour.lock().unwrap();
-            if behaviour != Behaviour::Shed {
+            let is_run = !matches!(
+                behaviour,
+                Behaviour::Shed | Behaviour::SlowShed(_) | Behaviour::Unavailable
+            );
+            if is_run {
                 *self.runs.lock().unwrap().entry(head.id.clone()).or_default() += 1;
             }
             if head.path.contains(CRASHING_PATH) {
@@ -225,7 +252,7 @@
                 // The connection is closed, or falls silent, where the crash is observed.
                 return std::future::pending().await;
             }
-            if let Behaviour::Slow(ms) = behaviour {
+            if let Behaviour::Slow(ms) | Behaviour::SlowShed(ms) = behaviour {
                 let mut byte = [0];
                 tokio::select! {
                     () = tokio::time::sleep(Duration::from_millis(ms)) => {}
@@ -252,10 +279,15 @@
         let record = format!("{:0<16}{:0<16}", self.instance, format!("z{}", self.instance));
         let limit = self.limit.lock().unwrap().clone();
         let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
+        let leaving = self.is_leaving.load(Ordering::Relaxed);
+        let leaving = if leaving { "server-leaving: 1\r\n" } else { "" };
+        let retry_after = self.retry_after.lock().unwrap().clone();
+        let retry_after: String =
+            retry_after.iter().map(|value| format!("retry-after: {value}\r\n")).collect();
         let answer = |status: &str, id: &str, body: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-request-id: {id}\r\nx-response-seal: {signature}\r\n\
-                 {limit}content-length: {}\r\n\r\n{body}",
+                 {limit}{leaving}content-length: {}\r\n\r\n{body}",
                 body.len()
             )
         };
@@ -264,9 +296,14 @@
                 reset_on_close(stream);
                 return None;
             }
-            Behaviour::Shed => {
-                "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
-            }
+            Behaviour::Shed | Behaviour::SlowShed(_) => format!(
+                "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n{leaving}{retry_after}\
+                 content-length: 0\r\n\r\n"
+            ),
+            Behaviour::Unavailable => format!(
+                "HTTP/1.1 503 Busy\r\nx-request-id: {id}\r\nx-response-seal: {signature}\r\n\
+                 {leaving}{retry_after}content-length: 0\r\n\r\n"
+            ),
             Behaviour::Failure => answer("500 Failed", id, "failed"),
             Behaviour::ExtraResponse => {
                 answer("200 OK", id, &record) + &answer("200 OK", "another", "of another")
--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -232,6 +232,8 @@
         for leaf in &self.leafs {
             leaf.set_behaviour(Behaviour::Normal);
             leaf.set_limit(None);
+            leaf.set_leaving(false);
+            leaf.set_retry_after(&[]);
         }
         self.store.set_fault(store::StoreFault::None);
         self.network.clear_faults();
--- a/cli/tests/test_query_path.rs
+++ b/cli/tests/test_query_path.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jasmineusher_bench::fleet::FleetShape;
+use jasmineusher_bench::leaf;
 use jasmineusher_lib::answer::OutcomeKind;
 use jasmineusher_lib::answer::QueryAnswer;
 use jasmineusher_lib::answer::Reason;
@@ -257,6 +258,44 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn leaf_that_says_in_an_answer_that_it_is_leaving_gets_no_more_calls() {
+    let bed = TestBed::start(DAEMON, small_fleet(), 1).await;
+    bed.fleet.leafs[0].change_behaviour(|behaviour| behaviour.says_leaving = true);
+    let usability = async || bed.state(0).await["leafs"]["careline-0"]["usability"].clone();
+    eventually("the leaf has answered a call", async || {
+        bed.query(0, lookup()).await;
+        (usability().await == "draining").then_some(())
+    })
+    .await;
+    // Any further call would be answered with a garbled reply.
+    bed.fleet.leafs[0].change_behaviour(|behaviour| behaviour.wrong_identity = true);
+    for _ in 0..50 {
+        let (_, answer) = bed.query(0, lookup()).await;
+        assert_eq!(answer.outcome, OutcomeKind::Complete);
+    }
+    assert_eq!(bed.state(0).await["counters"]["strays"], 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaf_that_sheds_a_call_and_names_a_time_gets_no_call_before() {
+    let bed = TestBed::start(DAEMON, small_fleet(), 1).await;
+    let pause = |behaviour: &mut leaf::Behaviour| behaviour.retry_after_ms = Some(60_000);
+    bed.fleet.leafs[0].change_behaviour(pause);
+    eventually("the leaf has shed a call", async || {
+        bed.query(0, lookup()).await;
+        (bed.fleet.record.totals().sheds > 0).then_some(())
+    })
+    .await;
+    for _ in 0..50 {
+        let (_, answer) = bed.query(0, lookup()).await;
+        assert_eq!(answer.outcome, OutcomeKind::Complete);
+    }
+    // Two calls may have been on their way when the leaf named the time.
+    let sheds = bed.fleet.record.totals().sheds;
+    assert!(sheds <= 2, "{sheds} calls reached a leaf that wanted none");
+}
+
 /// Requests still arrive while the daemon shuts down. Each must be answered or refused as not run;
 /// none may end by a closed connection.
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/admission_queue.rs
+++ b/lib/src/admission_queue.rs
@@ -192,6 +192,13 @@
         self.admit_waiters(now)
     }
 
+    /// Drops the tokens of all waiting calls, which refuses them.
+    pub fn refuse_waiting(&mut self) {
+        self.urgent.clear();
+        self.ordinary.clear();
+        self.ordinary_interval.reset();
+    }
+
     fn admit_waiters(&mut self, now: Instant) -> Vec<T> {
         let mut admitted = Vec::new();
         while self.in_flight < self.window() {
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -27,9 +27,11 @@
 use crate::held_connection::open_connection;
 use crate::leaf::Leaf;
 use crate::leaf_codec::OutgoingCall;
+use crate::leaf_notices::Standing;
 use crate::leaf_protocol::LeafReply;
 use crate::ledger::Charge;
 use crate::ledger::Effort;
+use crate::notice_records;
 use crate::peer_protocol::RelayEnd;
 use crate::plan::CallLoss;
 use crate::plan::SendCall;
@@ -146,9 +148,17 @@
         }
     }
 
+    /// Returns whether the leaf, by its own word, takes the call now.
+    fn is_taken(&self, now: Instant) -> bool {
+        self.leaf.notices.standing(now) == Standing::Open
+    }
+
     async fn execute_in_slot(&self) -> CallResult<P> {
         let (call_result, call_end) = match self.leaf.route() {
             Route::Via(relays) => self.call_through_relay(&relays).await,
+            Route::Direct(_) if !self.is_taken(Instant::now()) => {
+                (CallResult::Lost(CallLoss::NotSent, Effort::None), CallEnd::Other)
+            }
             Route::Direct(_) => match self.acquire_connection().await {
                 Ok(conn) => self.call_on_connection(conn).await,
                 Err(call_result) => (call_result, CallEnd::Other),
@@ -187,14 +197,19 @@
         open_connection(&self.cx.tier, &self.leaf, remaining.min(CONNECT_TIMEOUT)).await
     }
 
-    /// Sends the call on a connection unless its deadline has passed. The clock is checked right
-    /// before the write, since the process may have been paused until then.
+    /// Sends the call on a connection unless its deadline has passed or the leaf takes no calls any
+    /// more. Both are checked right before the write, since the process may have been paused until
+    /// then.
     async fn call_on_connection(&self, conn: Box<dyn LeafConnection>) -> (CallResult<P>, CallEnd) {
         let now = Instant::now();
         if now >= self.cx.deadline {
             self.leaf.pool.put_back(conn, now);
             return (CallResult::Lost(CallLoss::NoSlot, Effort::None), CallEnd::Other);
         }
+        if !self.is_taken(now) {
+            self.leaf.pool.put_back(conn, now);
+            return (CallResult::Lost(CallLoss::NotSent, Effort::None), CallEnd::Other);
+        }
         if !self.control.begin_write(now) {
             self.leaf.pool.put_back(conn, now);
             return (CallResult::Withdrawn, CallEnd::Other);
@@ -232,6 +247,7 @@
                         self.record_run(now);
                     }
                     self.record_named_limit(&reply, now);
+                    self.record_notice(&reply, now);
                     let call_end = self.record_reply(&reply, elapsed, now);
                     let run_time = || (!reply.status.proves_not_run()).then_some(elapsed);
                     let estimate = run_time().map(|time| time.as_micros() as u64);
@@ -240,6 +256,12 @@
                 }
                 Err(unmatched) => {
                     self.cx.tier.counters.strays.increment();
+                    notice_records::record_notice(
+                        &self.cx.tier,
+                        &self.leaf,
+                        &unmatched.notice,
+                        now,
+                    );
                     self.log_lost_call(Event::ReplyUnmatched, &unmatched, elapsed);
                     self.leaf.state().estimates.record_failure(now);
                     self.report_outcome(CallOutcome::Failed);
@@ -365,6 +387,7 @@
             Some(RelayOutcome::Reported(RelayEnd::Answered { json })) => {
                 match self.cx.codec.decode_relayed(&json) {
                     Ok(reply) if reply.call == self.send.call => {
+                        self.record_notice(&reply, now);
                         let call_end = self.record_reply(&reply, elapsed, now);
                         (CallResult::Answered(reply), call_end)
                     }
--- a/lib/src/call_records.rs
+++ b/lib/src/call_records.rs
@@ -17,6 +17,7 @@
 use crate::leaf_protocol::LeafStatus;
 use crate::limit_records;
 use crate::log_event;
+use crate::notice_records;
 
 impl<P: Send + 'static> Call<P> {
     /// Records that the leaf ran the request and answered. Only the first answer to a request is of
@@ -83,6 +84,13 @@
         }
     }
 
+    /// Records what the leaf says in its reply about taking further calls.
+    pub(crate) fn record_notice(&self, reply: &LeafReply<P>, now: Instant) {
+        if reply.status != LeafStatus::Misdirected {
+            notice_records::record_notice(&self.cx.tier, &self.leaf, &reply.notice, now);
+        }
+    }
+
     /// Updates the leaf's estimates, the latencies and the counters according to the reply's
     /// status. Returns how the call affects the congestion window.
     pub(crate) fn record_reply(
@@ -97,6 +105,11 @@
         }
         let mut state = self.leaf.state();
         match reply.status {
+            LeafStatus::Shed | LeafStatus::Failed if reply.notice.names_pause() => {
+                state.estimates.record_paused();
+                self.cx.tier.counters.sheds.increment();
+                return CallEnd::Other;
+            }
             LeafStatus::Shed => {
                 state.estimates.record_shed(now);
                 self.report_outcome(CallOutcome::Failed);
--- a/lib/src/connection_manager.rs
+++ b/lib/src/connection_manager.rs
@@ -70,9 +70,10 @@
     /// Closes the connections to a leaf that are not to stay open. Returns whether to prewarm one.
     fn maintain(&mut self, leaf: &Leaf, phase: HostPhase, now: Instant) -> bool {
         self.detect_overflow(leaf, now);
-        let (detail, usability, is_crowded) = {
+        let usability = leaf.usability(now);
+        let (detail, is_crowded) = {
             let LeafState { detail, estimates, .. } = &*leaf.state();
-            (detail.clone(), estimates.usability(now), estimates.is_crowded(now))
+            (detail.clone(), estimates.is_crowded(now))
         };
         if is_crowded && phase != HostPhase::Settled {
             self.crowded.insert(leaf.key);
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -70,6 +70,10 @@
     strays,
     /// Leaf calls that a leaf rejected because of its load.
     sheds,
+    /// Leafs that said themselves that they are leaving.
+    leaving_notices,
+    /// Times that a leaf named until which it wants no calls.
+    pauses,
     /// Leaf calls whose connection broke.
     broken,
     /// Connections opened to leafs.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -148,7 +148,7 @@
         let (kind, revision) = (document.kind, document.revision);
         let old = self.tier.view().document(kind).cloned();
         let is_newest = self.peers.archive.lock().unwrap().record_revision(kind, revision);
-        match self.tier.apply_document(document.clone()) {
+        match self.tier.apply_document(document.clone(), Instant::now()) {
             Ok(view) => {
                 Event::DocumentApplied
                     .info(&format!("Applied {} revision {revision}", kind.name()));
--- a/lib/src/documents.rs
+++ b/lib/src/documents.rs
@@ -4,6 +4,7 @@
 //! invalid one.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -127,6 +128,7 @@
         document: Document,
         registry: &LeafRegistry,
         own: &HostName,
+        now: Instant,
     ) -> Result<Self> {
         let Document { kind, revision: offered, .. } = document;
         let current = self.revision(kind);
@@ -144,7 +146,7 @@
             DocumentKind::Hosts => {
                 let raw = RawHostList::parse(&document.body).map_err(DocumentError::Hosts)?;
                 let hosts = HostList::new(raw, registry).map_err(DocumentError::Hosts)?;
-                next.leafs = Arc::new(self.leafs.with_hosts(&self.hosts, &hosts, own));
+                next.leafs = Arc::new(self.leafs.with_hosts(&self.hosts, &hosts, own, now));
                 next.hosts = Arc::new(hosts);
             }
         }
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -22,6 +22,7 @@
 use crate::leaf::Leaf;
 use crate::leaf::LeafTable;
 use crate::leaf::RankingInput;
+use crate::leaf_notices::Standing;
 use crate::log_event;
 use crate::plan::Actions;
 use crate::plan::Choice;
@@ -326,8 +327,8 @@
         Some(choice)
     }
 
-    fn limit_wait(&self, replicas: &[LeafKey], now: Instant) -> Option<Duration> {
-        self.leafs.limit_wait(replicas, self.class, now)
+    fn callable_in(&self, replicas: &[LeafKey], now: Instant) -> Option<Duration> {
+        self.leafs.callable_in(replicas, self.class, now)
     }
 
     fn try_hedge(&mut self, slow: LeafKey, is_decisive: bool, now: Instant) -> bool {
@@ -342,7 +343,10 @@
 
     fn try_retry(&mut self, failed: LeafKey, cause: RetryCause, now: Instant) -> bool {
         let Some(leaf) = self.leafs.get(failed) else { return true };
-        let leaf_allows = leaf.state().retries.try_withdraw();
+        // A leaf that takes no calls by its own word failed none of those that were not sent to it.
+        let is_turned_away =
+            cause == RetryCause::NotSent && leaf.notices.standing(now) != Standing::Open;
+        let leaf_allows = is_turned_away || leaf.state().retries.try_withdraw();
         let is_allowed = leaf_allows
             && (cause == RetryCause::NotSent || self.budget.try_retry(leaf, cause, now));
         if !is_allowed {
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -20,6 +20,7 @@
 
 use crate::call_report_link::CALL_REPORTS_PATH;
 use crate::call_report_link::CallReportLink;
+use crate::catalogue::Class;
 use crate::cluster_state::ClusterState;
 use crate::counters::CounterValues;
 use crate::edge::Edge;
@@ -28,6 +29,7 @@
 use crate::fleet_link::EXCHANGE_PATH;
 use crate::fleet_link::FleetLink;
 use crate::fleet_link::encode;
+use crate::leaf_estimates::Usability;
 use crate::limit_link::LIMITS_PATH;
 use crate::limit_link::LimitLink;
 use crate::metrics::Metrics;
@@ -92,7 +94,9 @@
     name: String,
     group: u32,
     addr: String,
-    usability: crate::leaf_estimates::Usability,
+    usability: Usability,
+    /// Milliseconds until the leaf takes a call; absent if it is leaving or gone.
+    callable_in_ms: Option<u64>,
     service_us: u64,
     in_flight: u32,
     queued: usize,
@@ -164,12 +168,15 @@
         let now = std::time::Instant::now();
         let view = self.cluster_state.views.get();
         let leafs = view.leafs.iter().map(|leaf| {
+            let usability = leaf.usability(now);
+            let callable_in = leaf.callable_in(Class::Urgent, now);
             let state = leaf.state();
             LeafState {
                 name: leaf.host.name.to_string(),
                 group: leaf.host.detail.group.0,
                 addr: leaf.host.addr.to_string(),
-                usability: state.estimates.usability(now),
+                usability,
+                callable_in_ms: callable_in.map(|time| time.as_millis() as u64),
                 service_us: state.estimates.median_latency().as_micros() as u64,
                 in_flight: state.admission_queue.in_flight(),
                 queued: state.admission_queue.queued(),
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -103,6 +103,13 @@
     LeafsUnreachable = 314,
     /// A leaf answers or accepts a connection again.
     LeafsReachable = 315,
+    /// A leaf says itself that it is leaving, whatever its entry says; it gets no calls until it
+    /// starts again.
+    LeafLeaving = 316,
+    /// A leaf names a time for which it wants no calls of this host, and gets none until then.
+    LeafPaused = 317,
+    /// A leaf names a time for which it wants no calls that cannot be read; it is ignored.
+    LeafPauseUnreadable = 318,
     /// A peer was discovered for the first time or after a restart.
     PeerJoined = 400,
     /// A peer is shutting down.
--- a/lib/src/leaf.rs
+++ b/lib/src/leaf.rs
@@ -24,6 +24,8 @@
 use crate::leaf_estimates::LeafEstimates;
 use crate::leaf_estimates::Usability;
 use crate::leaf_limiter::LeafLimiter;
+use crate::leaf_notices::SharedNotices;
+use crate::leaf_notices::Standing;
 use crate::plan::Choice;
 use crate::plan::Purpose;
 use crate::pool::Pool;
@@ -80,7 +82,8 @@
     }
 }
 
-/// One leaf. Lock order: `state` before the pool's own lock; never the states of two leafs at once.
+/// One leaf. Lock order: `state` before the locks of the pool and of the notices; never the states
+/// of two leafs at once.
 #[derive(Debug)]
 pub struct Leaf {
     /// Index of the leaf in this process's tables.
@@ -91,12 +94,15 @@
     pub host: Arc<LeafHost>,
     /// Idle connections to the leaf and the count of open ones.
     pub pool: Pool,
+    /// What the leaf has said itself about taking further calls.
+    pub notices: SharedNotices,
     state: Mutex<LeafState>,
 }
 
 impl Leaf {
-    /// Creates a leaf without observations or connections.
-    pub fn new(key: LeafKey, host: Arc<LeafHost>, route: Route) -> Self {
+    /// Creates a leaf without observations or connections. `notices` are those of an earlier record
+    /// of the same start of the leaf.
+    pub fn new(key: LeafKey, host: Arc<LeafHost>, route: Route, notices: SharedNotices) -> Self {
         let mut estimates = LeafEstimates::default();
         estimates.set_listed_leaving(host.state == HostState::Leaving);
         estimates.set_cold_until(host.detail.cold_until);
@@ -113,7 +119,39 @@
             detail,
         };
         let hash = LeafHash::of(&host.name);
-        Self { key, hash, pool, host, state: Mutex::new(state) }
+        Self { key, hash, pool, host, notices, state: Mutex::new(state) }
+    }
+
+    /// Returns whether the leaf may get a call now, by its own word before what is published and
+    /// observed.
+    pub fn usability(&self, now: Instant) -> Usability {
+        let estimated = self.state().estimates.usability(now);
+        self.usability_with(estimated, now)
+    }
+
+    fn usability_with(&self, estimated: Usability, now: Instant) -> Usability {
+        match self.notices.standing(now) {
+            _ if estimated == Usability::Gone => Usability::Gone,
+            Standing::Leaving => Usability::Draining,
+            _ if estimated == Usability::Draining => Usability::Draining,
+            Standing::Paused(_) => Usability::Paused,
+            Standing::Open => estimated,
+        }
+    }
+
+    /// Returns the time until the leaf takes a first call of `class`, zero if it takes one now.
+    /// Returns nothing if the leaf is leaving or gone.
+    pub fn callable_in(&self, class: Class, now: Instant) -> Option<Duration> {
+        let state = self.state();
+        let paused = match self.notices.standing(now) {
+            Standing::Leaving => return None,
+            Standing::Paused(time) => time,
+            Standing::Open => Duration::ZERO,
+        };
+        if matches!(state.estimates.usability(now), Usability::Draining | Usability::Gone) {
+            return None;
+        }
+        Some(paused.max(state.limiter.wait(class, now).unwrap_or_default()))
     }
 
     /// Returns whether calls go to the leaf directly or through relays.
@@ -142,17 +180,35 @@
     }
 }
 
+/// Time for which the notices of a leaf are kept after its entry has lapsed, as the same start of
+/// the leaf may be published again.
+const NOTICE_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Notices of a leaf that is no longer listed.
+#[derive(Clone, Debug)]
+struct UnlistedLeaf {
+    notices: SharedNotices,
+    unlisted_at: Instant,
+}
+
 /// All listed leafs by key. The table is immutable; its versions share the leafs.
 #[derive(Clone, Debug, Default)]
 pub struct LeafTable {
     leafs: Vec<Option<Arc<Leaf>>>,
+    unlisted: HashMap<LeafKey, UnlistedLeaf>,
 }
 
 impl LeafTable {
     /// Returns the table for the host list `hosts`, which replaces `before`, on the host `own`.
-    /// Leafs whose address is the same keep their state. Routes are computed again only if the
-    /// daemons or the leaf changed.
-    pub fn with_hosts(&self, before: &HostList, hosts: &HostList, own: &HostName) -> Self {
+    /// Leafs whose address is the same keep their state, and all keep their notices. Routes are
+    /// computed again only if the daemons or the leaf changed.
+    pub fn with_hosts(
+        &self,
+        before: &HostList,
+        hosts: &HostList,
+        own: &HostName,
+        now: Instant,
+    ) -> Self {
         let size = hosts.leafs().map(|(key, _)| key.0 as usize + 1).max().unwrap_or(0);
         let mut leafs = vec![None; size];
         let router = Router::new(own, hosts);
@@ -166,11 +222,41 @@
                     leaf.update(host, router.route(host));
                     leaf.clone()
                 }
-                None => Arc::new(Leaf::new(key, host.clone(), router.route(host))),
+                None => {
+                    let notices = self.notices(key);
+                    Arc::new(Leaf::new(key, host.clone(), router.route(host), notices))
+                }
             };
             leafs[key.0 as usize] = Some(leaf);
         }
-        Self { leafs }
+        let unlisted = self.unlisted_without(&leafs, now);
+        Self { leafs, unlisted }
+    }
+
+    /// Returns the notices known of a leaf; none if this table has no record of it.
+    fn notices(&self, key: LeafKey) -> SharedNotices {
+        let listed = self.get(key).map(|leaf| &leaf.notices);
+        let unlisted = || self.unlisted.get(&key).map(|unlisted| &unlisted.notices);
+        listed.or_else(unlisted).cloned().unwrap_or_default()
+    }
+
+    /// Returns the recently listed leafs that are not in `listed`, the leafs of the next table.
+    fn unlisted_without(
+        &self,
+        listed: &[Option<Arc<Leaf>>],
+        now: Instant,
+    ) -> HashMap<LeafKey, UnlistedLeaf> {
+        let mut unlisted = self.unlisted.clone();
+        for leaf in self.iter() {
+            let notices = leaf.notices.clone();
+            unlisted.insert(leaf.key, UnlistedLeaf { notices, unlisted_at: now });
+        }
+        let is_listed = |key: &LeafKey| listed.get(key.0 as usize).is_some_and(Option::is_some);
+        unlisted.retain(|key, leaf| {
+            let age = now.saturating_duration_since(leaf.unlisted_at);
+            !is_listed(key) && age < NOTICE_LIFETIME
+        });
+        unlisted
     }
 
     /// Returns the leaf with this key if it is listed.
@@ -180,18 +266,19 @@
 
     /// Returns whether a leaf is listed and may get a call.
     pub fn is_usable(&self, key: LeafKey, now: Instant) -> bool {
-        self.get(key).is_some_and(|leaf| leaf.state().estimates.usability(now) == Usability::Usable)
+        self.get(key).is_some_and(|leaf| leaf.usability(now) == Usability::Usable)
     }
 
-    /// Returns the time until the first of these replicas admits a first call of `class`, of those
-    /// that only their rate limit holds back; nothing if there is none.
-    pub fn limit_wait(&self, replicas: &[LeafKey], class: Class, now: Instant) -> Option<Duration> {
-        let wait = |key: &LeafKey| {
-            let state = self.get(*key)?.state();
-            let is_usable = state.estimates.usability(now) == Usability::Usable;
-            state.limiter.wait(class, now).filter(|_| is_usable)
-        };
-        replicas.iter().filter_map(wait).min()
+    /// Returns the time until the first of these replicas takes a first call of `class`, zero if
+    /// one takes it now; nothing if all of them are leaving or gone.
+    pub fn callable_in(
+        &self,
+        replicas: &[LeafKey],
+        class: Class,
+        now: Instant,
+    ) -> Option<Duration> {
+        let leafs = replicas.iter().filter_map(|key| self.get(*key));
+        leafs.filter_map(|leaf| leaf.callable_in(class, now)).min()
     }
 
     /// Returns all leafs ordered by key.
@@ -304,9 +391,9 @@
     fn candidate(&self, leaf: &Leaf, zone: &Zone, class: Class) -> Option<Candidate> {
         let was_tried = self.tried.contains(&leaf.key);
         let state = leaf.state();
-        let usability = state.estimates.usability(self.now);
+        let usability = leaf.usability_with(state.estimates.usability(self.now), self.now);
         let is_hedge = self.purpose == Purpose::Hedge;
-        if matches!(usability, Usability::Draining | Usability::Gone) {
+        if matches!(usability, Usability::Draining | Usability::Gone | Usability::Paused) {
             return None;
         }
         let is_likely_to_fail =
--- a/lib/src/leaf_codec.rs
+++ b/lib/src/leaf_codec.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::hosts::LeafHost;
+use crate::leaf_notices::LeafNotice;
 use crate::leaf_protocol::CallId;
 use crate::leaf_protocol::LeafReply;
 
@@ -23,10 +24,22 @@
 }
 
 /// Error for a response that does not parse or belongs to another call than the one on whose
-/// connection it arrived. The text describes the difference.
+/// connection it arrived.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("Response belongs to another call or cannot be read: {0}")]
-pub struct UnmatchedReply(pub String);
+#[error("Response belongs to another call or cannot be read: {cause}")]
+pub struct UnmatchedReply {
+    /// Description of the difference.
+    pub cause: String,
+    /// What the response says about taking further calls, which holds for any call.
+    pub notice: LeafNotice,
+}
+
+impl UnmatchedReply {
+    /// Creates the error for a response without a notice.
+    pub fn new(cause: impl Into<String>) -> Self {
+        Self { cause: cause.into(), notice: LeafNotice::default() }
+    }
+}
 
 /// Encodes the calls and decodes the replies of one query.
 pub trait LeafCodec<P>: Send + Sync {
--- a/lib/src/leaf_estimates.rs
+++ b/lib/src/leaf_estimates.rs
@@ -72,6 +72,8 @@
     /// The leaf lost several consecutive calls or refused a connection and gets no calls for a
     /// while.
     Ejected,
+    /// The leaf named a time for which it wants no calls.
+    Paused,
     /// The leaf is leaving and gets no new calls.
     Draining,
     /// Another leaf answers at the leaf's address.
@@ -196,6 +198,13 @@
         self.sample_failure(1.0, now);
     }
 
+    /// Records that the leaf shed a call and named a time for which it wants none. This says nothing
+    /// about the calls after that time.
+    pub fn record_paused(&mut self) {
+        self.sheds += 1;
+        self.consecutive_losses = 0;
+    }
+
     /// Records that the leaf replied with a failure or with an unmatched reply.
     pub fn record_failure(&mut self, now: Instant) {
         self.sample_failure(1.0, now);
--- a/lib/src/leaf_protocol.rs
+++ b/lib/src/leaf_protocol.rs
@@ -3,6 +3,8 @@
 //! A call is `POST /search`; a cancellation is `POST /cancel` on another connection. A leaf echoes
 //! query, attempt, shard and version, so that an answer is never attributed to another call.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -12,6 +14,8 @@
 use crate::ids::IndexVersion;
 use crate::ids::QueryId;
 use crate::ids::ShardNo;
+use crate::leaf_notices::LeafNotice;
+use crate::leaf_notices::NamedPause;
 use crate::rate_limit::NamedLimit;
 
 /// HTTP path of a search call.
@@ -131,6 +135,13 @@
     /// say so; absent if it has no such limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit_per_s: Option<f64>,
+    /// Whether the leaf is leaving; it then says so in all its answers.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// Milliseconds for which the leaf wants no calls of the host that made this one; absent if it
+    /// goes on taking them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
     /// Hits of the shard; complete only with status [`LeafStatus::Ok`].
     #[serde(default)]
     pub hits: Vec<Hit>,
@@ -156,23 +167,40 @@
     pub queued: u32,
     /// What the reply says about the requests that the leaf takes from all hosts together.
     pub limit: NamedLimit,
+    /// What the reply says about taking further calls.
+    pub notice: LeafNotice,
     /// Contribution of the leaf to the answer. A failed call may have a payload too.
     pub payload: P,
 }
 
 impl From<LeafAnswer> for LeafReply<Vec<Hit>> {
     fn from(answer: LeafAnswer) -> Self {
-        let LeafAnswer { call, status, effort_us, queued, limit_per_s, hits } = answer;
-        let limit = limit_per_s.into();
-        Self { call, status, effort_us: Some(effort_us), queued, limit, payload: hits }
+        let LeafAnswer { call, status, effort_us, queued, hits, .. } = answer;
+        let limit = answer.limit_per_s.into();
+        let pause = answer.retry_after_ms.map(Duration::from_millis);
+        let pause = pause.map_or(NamedPause::Absent, |time| NamedPause::For(time.into()));
+        let notice = LeafNotice { is_leaving: answer.leaving, pause };
+        Self { call, status, effort_us: Some(effort_us), queued, limit, notice, payload: hits }
     }
 }
 
 impl From<LeafReply<Vec<Hit>>> for LeafAnswer {
     fn from(reply: LeafReply<Vec<Hit>>) -> Self {
-        let LeafReply { call, status, effort_us, queued, payload, .. } = reply;
-        // The host that made the call keeps to the limit; it does not concern hosts behind it.
-        let (effort_us, limit_per_s) = (effort_us.unwrap_or_default(), None);
-        Self { call, status, effort_us, queued, limit_per_s, hits: payload }
+        let LeafReply { call, status, effort_us, queued, notice, payload, .. } = reply;
+        let retry_after_ms = match notice.pause {
+            NamedPause::For(pause) => Some(pause.duration().as_millis() as u64),
+            NamedPause::Absent | NamedPause::Unreadable(_) => None,
+        };
+        Self {
+            call,
+            status,
+            effort_us: effort_us.unwrap_or_default(),
+            queued,
+            // The host that made the call keeps to the limit; it does not concern hosts behind it.
+            limit_per_s: None,
+            leaving: notice.is_leaving,
+            retry_after_ms,
+            hits: payload,
+        }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod leaf_codec;
 pub mod leaf_directory;
 pub mod leaf_limiter;
+pub mod leaf_notices;
 
 pub mod leaf_protocol;
 pub mod leaf_reach;
@@ -74,6 +75,7 @@
 pub mod limits;
 pub mod membership;
 pub mod metrics;
+pub mod notice_records;
 pub mod opaque;
 pub mod opaque_answer;
 pub mod opaque_catalogue;
--- a/lib/src/opaque_answer.rs
+++ b/lib/src/opaque_answer.rs
@@ -6,6 +6,7 @@
 
 use crate::answer::OutcomeKind;
 use crate::answer::Reason;
+use crate::catalogue::Class;
 use crate::opaque::LeafResponse;
 use crate::opaque::LocalAnswer;
 use crate::opaque::MergedAnswer;
@@ -48,7 +49,7 @@
                 OpaqueAnswer::PassedThrough(response)
             })
         }
-        OutcomeKind::NotRun => OpaqueAnswer::Local(refusal_of(&outcome)),
+        OutcomeKind::NotRun => OpaqueAnswer::Local(refusal_of(&outcome, opaque_entry.entry.class)),
         OutcomeKind::Unknown => match outcome.failure {
             Some(failure) if !is_merged => OpaqueAnswer::PassedThrough(failure),
             _ if outcome.reason == Reason::DeadlineExceeded => {
@@ -77,11 +78,12 @@
 
 /// Returns the refusal of a request that has not run, with the time after which a resend may
 /// succeed.
-fn refusal_of(outcome: &Outcome<LeafResponse>) -> LocalAnswer {
+fn refusal_of(outcome: &Outcome<LeafResponse>, class: Class) -> LocalAnswer {
     match outcome.reason {
         Reason::Overloaded => {
             let wait = outcome.excess_wait.unwrap_or(LOST_LEAFS_RETRY);
-            LocalAnswer::refused(with_jitter(wait), "The leafs cannot take the request at present")
+            let wait = retry_after::retry_when_taken(wait, class, &mut rand::rng());
+            LocalAnswer::refused(wait, "The leafs cannot take the request at present")
         }
         Reason::DeadlineExceeded => {
             LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "No leaf could be reached in time")
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -57,9 +57,9 @@
         now: Instant,
     ) -> Option<Choice>;
 
-    /// Returns the time until one of these replicas may be called, if only the rate limits of
-    /// leafs keep them all from being called now; nothing otherwise.
-    fn limit_wait(&self, replicas: &[LeafKey], now: Instant) -> Option<Duration>;
+    /// Returns the time until one of these replicas may be called, zero if one may be called now.
+    /// Returns nothing if that cannot be told, as all of them are leaving or gone.
+    fn callable_in(&self, replicas: &[LeafKey], now: Instant) -> Option<Duration>;
 
     /// Takes one hedge of a call to `slow` from the budget of extra calls and returns whether it is
     /// allowed. A hedge is decisive while the merged shards are below the minimum coverage, when an
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -167,10 +167,10 @@
         let needed_shards = self.needed_shards();
         if waits.len() < needed_shards {
             let missing = needed_shards - waits.len();
-            self.excess_wait = self.limit_wait(&choices, missing, now, policy);
-            let is_limited = self.excess_wait.is_some();
-            let reason = if is_limited { Reason::Overloaded } else { Reason::ReplicasLost };
-            return self.finish(reason, out);
+            let shards = self.shard_numbers().zip(&choices);
+            let unchosen = shards.filter(|(_, choice)| choice.is_none()).map(|(shard, _)| shard);
+            self.excess_wait = self.wait_for_leafs(unchosen, missing, now, policy);
+            return self.finish(self.lost_or_overloaded(), out);
         }
         let (_, longest_needed_wait, _) = waits.select_nth_unstable(needed_shards - 1);
         let allowed = remaining.mul_f64(expected_time_share(self.plan.entry.class));
@@ -179,7 +179,7 @@
             return self.finish(Reason::Overloaded, out);
         }
         self.send_first_calls(&choices, now, policy, out);
-        self.finish_if_decided(now, out);
+        self.finish_if_decided(now, policy, out);
     }
 
     /// Sends the chosen first calls. A suspected request sends only one, as a probe; the calls of
@@ -229,7 +229,7 @@
         } else {
             self.handle_status(attempt, shard, reply, now, policy, out);
         }
-        self.finish_if_decided(now, out);
+        self.finish_if_decided(now, policy, out);
     }
 
     fn handle_status(
@@ -286,7 +286,7 @@
                 self.retry_if_idempotent(attempt, shard, now, policy, out);
             }
         }
-        self.finish_if_decided(now, out);
+        self.finish_if_decided(now, policy, out);
     }
 
     /// Hedges slow calls and ends the query at its latency target or deadline.
@@ -297,7 +297,7 @@
                 self.hedge(shard, now, policy, out);
             }
         }
-        self.finish_if_decided(now, out);
+        self.finish_if_decided(now, policy, out);
     }
 
     /// Ends the query with what was merged so far, as the process shuts down.
@@ -459,7 +459,7 @@
     /// Ends the query as soon as its outcome can no longer improve, at its deadline, at its latency
     /// target if the merged shards satisfy the minimum coverage, or, if it should restart on
     /// another version, as soon as a shard was given up.
-    fn finish_if_decided(&mut self, now: Instant, out: &mut Actions) {
+    fn finish_if_decided(&mut self, now: Instant, policy: &dyn Policy, out: &mut Actions) {
         if self.end_reason.is_some() {
             return;
         }
@@ -468,9 +468,13 @@
             // The reason has no meaning if the query is complete.
             self.finish(Reason::DeadlineExceeded, out);
         } else if self.open_shards == 0 || merged + self.open_shards < self.needed_shards() {
-            let is_blocked = self.suspicion == Suspicion::Blocked;
-            let reason = if is_blocked { Reason::Quarantined } else { Reason::ReplicasLost };
-            self.finish(reason, out);
+            if self.suspicion == Suspicion::Blocked {
+                return self.finish(Reason::Quarantined, out);
+            }
+            let missing = self.needed_shards().saturating_sub(merged + self.open_shards);
+            let given_up = self.shard_numbers().filter(|s| self.shards[usize::from(s.0)].given_up);
+            self.excess_wait = self.wait_for_leafs(given_up, missing, now, policy);
+            self.finish(self.lost_or_overloaded(), out);
         } else if merged >= self.needed_shards() && self.plan.target_at.is_some_and(|at| now >= at)
         {
             self.finish(Reason::GoalReached, out);
@@ -479,6 +483,13 @@
         }
     }
 
+    /// Returns the reason of a query that too few leafs take: they take it after a while, or no time
+    /// can be told.
+    fn lost_or_overloaded(&self) -> Reason {
+        let is_refused = self.excess_wait.is_some() && !self.may_have_run;
+        if is_refused { Reason::Overloaded } else { Reason::ReplicasLost }
+    }
+
     fn has_given_up_shard(&self) -> bool {
         self.shards.iter().any(|s| s.given_up)
     }
--- a/lib/src/query_outcome.rs
+++ b/lib/src/query_outcome.rs
@@ -12,7 +12,6 @@
 use crate::ids::IndexVersion;
 use crate::ids::ShardNo;
 use crate::leaf_protocol::Hit;
-use crate::plan::Choice;
 use crate::plan::Policy;
 use crate::query::Query;
 
@@ -67,20 +66,19 @@
         by_shard.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the time until `missing` more shards may be called, if rate limits of leafs are all
-    /// that keeps them from being called now.
-    pub(crate) fn limit_wait(
+    /// Returns the time until `missing` more of these shards have a replica that takes calls.
+    /// Returns nothing if they have one already, or if that cannot be told.
+    pub(crate) fn wait_for_leafs(
         &self,
-        choices: &[Option<Choice>],
+        shards: impl Iterator<Item = ShardNo>,
         missing: usize,
         now: Instant,
         policy: &dyn Policy,
     ) -> Option<Duration> {
-        let unchosen = self.shard_numbers().zip(choices).filter(|(_, choice)| choice.is_none());
-        let wait = |(shard, _)| policy.limit_wait(self.plan.snapshot.replicas(shard), now);
-        let mut waits: Vec<_> = unchosen.filter_map(wait).collect();
+        let wait = |shard| policy.callable_in(self.plan.snapshot.replicas(shard), now);
+        let mut waits: Vec<_> = shards.filter_map(wait).collect();
         waits.sort_unstable();
-        waits.get(missing - 1).copied()
+        waits.get(missing.checked_sub(1)?).copied().filter(|wait| !wait.is_zero())
     }
 
     fn outcome(&self) -> OutcomeKind {
--- a/lib/src/retry_after.rs
+++ b/lib/src/retry_after.rs
@@ -7,6 +7,8 @@
 
 use rand::Rng;
 
+use crate::catalogue::Class;
+
 /// Retry-after time for requests that another host can probably serve: about one round trip of the
 /// caller.
 pub const OTHER_HOST_RETRY: Duration = Duration::from_millis(40);
@@ -24,6 +26,10 @@
 const MAX_TIMEOUT_PART: f64 = 0.25;
 /// Range of the factor by which [`with_jitter`] multiplies a time.
 const JITTER: std::ops::Range<f64> = 0.75..1.5;
+/// Range of the factor by which [`retry_when_taken`] multiplies the time of an urgent request.
+const URGENT_SPREAD: std::ops::Range<f64> = 1.0..1.2;
+/// Range of the factor by which [`retry_when_taken`] multiplies the time of an ordinary request.
+const ORDINARY_SPREAD: std::ops::Range<f64> = 1.2..1.5;
 
 /// Returns the longest time for which to hold a request, which arrived `age` after the process
 /// start, until the first configuration is read. `caller_timeout` is how long the caller waits, if
@@ -41,6 +47,16 @@
     waited.clamp(OTHER_HOST_RETRY, MAX_UNCONFIGURED_RETRY)
 }
 
+/// Returns the retry-after time of a request that leafs take after `wait`: not before that, spread,
+/// and earlier for urgent requests than for ordinary ones.
+pub fn retry_when_taken(wait: Duration, class: Class, rng: &mut impl Rng) -> Duration {
+    let spread = match class {
+        Class::Urgent => URGENT_SPREAD,
+        Class::Ordinary => ORDINARY_SPREAD,
+    };
+    wait.mul_f64(rng.random_range(spread))
+}
+
 /// Returns `wait` multiplied by a random jitter factor.
 pub fn with_jitter(wait: Duration, rng: &mut impl Rng) -> Duration {
     wait.mul_f64(rng.random_range(JITTER))
--- a/lib/src/search_codec.rs
+++ b/lib/src/search_codec.rs
@@ -85,7 +85,8 @@
         if reply.call == call.call {
             Ok(reply)
         } else {
-            Err(UnmatchedReply(format!("the reply names {:?}", reply.call)))
+            let cause = format!("the reply names {:?}", reply.call);
+            Err(UnmatchedReply { cause, notice: reply.notice })
         }
     }
 
@@ -94,7 +95,7 @@
     }
 
     fn decode_relayed(&self, body: &[u8]) -> Result<LeafReply<Vec<Hit>>, UnmatchedReply> {
-        let answer = LeafAnswer::parse(body).map_err(|e| UnmatchedReply(e.to_string()))?;
+        let answer = LeafAnswer::parse(body).map_err(|e| UnmatchedReply::new(e.to_string()))?;
         Ok(answer.into())
     }
 }
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -128,9 +128,10 @@
 
 impl LeafDump {
     fn of(leaf: &Leaf, now: Instant) -> Self {
+        let usability = leaf.usability(now);
         let state = leaf.state();
         Self {
-            usability: state.estimates.usability(now),
+            usability,
             service_us: state.estimates.median_latency().as_micros() as u64,
             route: state.route.clone(),
             in_flight: state.admission_queue.in_flight(),
--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -272,7 +272,7 @@
             }
             groups[index].extend(list.leaf_key(&name));
         }
-        let leafs = Arc::new(self.view.leafs.with_hosts(&self.view.hosts, &list, &self.own));
+        let leafs = Arc::new(self.view.leafs.with_hosts(&self.view.hosts, &list, &self.own, now));
         self.view = OpaqueView {
             catalogue: self.catalogue.clone(),
             hosts: list,
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -210,9 +210,10 @@
     ///
     /// Returns an error, and leaves the view unchanged, if the document is invalid or not newer
     /// than the one in force.
-    pub fn apply_document(&self, document: Document) -> Result<Arc<View>> {
+    pub fn apply_document(&self, document: Document, now: Instant) -> Result<Arc<View>> {
         let mut view = self.view.write().unwrap();
-        let next = Arc::new(view.with_document(document, &self.registry, &self.identity.host)?);
+        let next =
+            Arc::new(view.with_document(document, &self.registry, &self.identity.host, now)?);
         *view = next.clone();
         Ok(next)
     }
--- a/lib/tests/test_documents.rs
+++ b/lib/tests/test_documents.rs
@@ -1,6 +1,8 @@
 //! Published documents: revisions, patches, transfers to hosts that are behind, and the choice of
 //! watchers.
 
+use std::time::Instant;
+
 use jasmineusher_lib::distribution::Archive;
 use jasmineusher_lib::distribution::document_from_transfer;
 use jasmineusher_lib::distribution::is_watcher;
@@ -33,15 +35,35 @@
 fn current_document_is_never_replaced_by_an_older_or_invalid_one() {
     let registry = LeafRegistry::default();
     let view = View::default()
-        .with_document(catalogue(5, testutils::CATALOGUE), &registry, &host("host-0"))
+        .with_document(
+            catalogue(5, testutils::CATALOGUE),
+            &registry,
+            &host("host-0"),
+            Instant::now(),
+        )
         .expect("the catalogue is valid");
     assert!(
-        view.with_document(catalogue(4, testutils::CATALOGUE), &registry, &host("host-0")).is_err()
+        view.with_document(
+            catalogue(4, testutils::CATALOGUE),
+            &registry,
+            &host("host-0"),
+            Instant::now()
+        )
+        .is_err()
+    );
+    assert!(
+        view.with_document(
+            catalogue(5, testutils::CATALOGUE),
+            &registry,
+            &host("host-0"),
+            Instant::now()
+        )
+        .is_err()
     );
     assert!(
-        view.with_document(catalogue(5, testutils::CATALOGUE), &registry, &host("host-0")).is_err()
+        view.with_document(catalogue(6, "entry = 1"), &registry, &host("host-0"), Instant::now())
+            .is_err()
     );
-    assert!(view.with_document(catalogue(6, "entry = 1"), &registry, &host("host-0")).is_err());
     assert_eq!(view.revision(DocumentKind::Catalogue), Revision(5));
 }
 
@@ -56,7 +78,7 @@
         let document = catalogue(n, &edited_catalogue(n));
         let old = view.document(DocumentKind::Catalogue).cloned();
         view = view
-            .with_document(document.clone(), &registry, &host("host-0"))
+            .with_document(document.clone(), &registry, &host("host-0"), Instant::now())
             .expect("the catalogue is valid");
         archive.record_replacement(old.as_ref(), &document);
         views.push(view.clone());
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -44,8 +44,10 @@
 /// called yet. If there is none, a retry goes to the first that was called.
 #[derive(Default)]
 struct EagerPolicy {
-    /// Leafs whose rate limit admits no call, and the time until it does.
-    limit_waits: HashMap<LeafKey, Duration>,
+    /// Leafs that take no call, and the time until they do.
+    untaken: HashMap<LeafKey, Duration>,
+    /// Whether a retry goes to no leaf that the shard has called already.
+    retries_only_untried: bool,
     waits: HashMap<LeafKey, Duration>,
     unwritten: HashSet<Attempt>,
     written_at: HashMap<Attempt, Instant>,
@@ -59,18 +61,17 @@
         purpose: Purpose,
         _now: Instant,
     ) -> Option<Choice> {
-        let is_free =
-            |leaf: &LeafKey| !tried.contains(leaf) && !self.limit_waits.contains_key(leaf);
+        let is_free = |leaf: &LeafKey| !tried.contains(leaf) && !self.untaken.contains_key(leaf);
         let untried = replicas.iter().copied().find(is_free);
-        let leaf =
-            if purpose == Purpose::Retry { untried.or(tried.first().copied()) } else { untried };
+        let may_call_again = purpose == Purpose::Retry && !self.retries_only_untried;
+        let leaf = if may_call_again { untried.or(tried.first().copied()) } else { untried };
         let leaf = leaf?;
         let wait = self.waits.get(&leaf).copied().unwrap_or(Duration::from_millis(1));
         Some(Choice { leaf, wait, cost: wait })
     }
 
-    fn limit_wait(&self, replicas: &[LeafKey], _now: Instant) -> Option<Duration> {
-        replicas.iter().filter_map(|leaf| self.limit_waits.get(leaf).copied()).min()
+    fn callable_in(&self, replicas: &[LeafKey], _now: Instant) -> Option<Duration> {
+        replicas.iter().map(|leaf| self.untaken.get(leaf).copied().unwrap_or_default()).min()
     }
 
     fn try_hedge(&mut self, _slow: LeafKey, _is_decisive: bool, _now: Instant) -> bool {
@@ -134,7 +135,16 @@
 fn answer(send: &SendCall, status: LeafStatus) -> LeafAnswer {
     let hit = Hit { score: 1.0, id: format!("s{}", send.call.shard), fields: None };
     let hits = if status == LeafStatus::Ok { vec![hit] } else { Vec::new() };
-    LeafAnswer { call: send.call, status, effort_us: 1, queued: 0, limit_per_s: None, hits }
+    LeafAnswer {
+        call: send.call,
+        status,
+        effort_us: 1,
+        queued: 0,
+        limit_per_s: None,
+        leaving: false,
+        retry_after_ms: None,
+        hits,
+    }
 }
 
 /// A query in progress with its policy, the calls that it has sent and cancelled so far, and the
@@ -213,7 +223,7 @@
     let now = Instant::now();
     let mut policy = EagerPolicy::default();
     let waits = [(0, 30), (1, 20), (2, 10), (3, 40)];
-    policy.limit_waits = waits.map(|(leaf, ms)| (LeafKey(leaf), Duration::from_millis(ms))).into();
+    policy.untaken = waits.map(|(leaf, ms)| (LeafKey(leaf), Duration::from_millis(ms))).into();
     let mut query = Query::<Vec<Hit>>::new(plan("table", now, Suspicion::Clear, 1));
     let mut out = Actions::default();
     query.start(now, &mut policy, &mut out);
@@ -224,6 +234,24 @@
     assert_eq!(outcome.excess_wait, Some(Duration::from_millis(40)));
 }
 
+/// Guards against a time to come back at which still no leaf takes the request.
+#[test]
+fn query_that_its_leafs_turn_away_is_refused_with_the_time_until_enough_take_it() {
+    let mut run = Run::start_with_replicas("table", Suspicion::Clear, 1);
+    for call in 0..5 {
+        let leaf = run.calls[call].leaf;
+        let time = Duration::from_millis(100 + 10 * u64::from(leaf.0));
+        run.policy.untaken.insert(leaf, time);
+    }
+    run.policy.retries_only_untried = true;
+    (0..5).for_each(|call| run.answer(call, LeafStatus::Shed));
+    assert!(run.query.is_over());
+    let outcome = run.query.take_outcome();
+    assert_eq!((outcome.kind, outcome.reason), (OutcomeKind::NotRun, Reason::Overloaded));
+    // The entry needs all shards, and the first that is given up decides.
+    assert_eq!(outcome.excess_wait, Some(Duration::from_millis(100)));
+}
+
 #[test]
 fn reply_that_arrives_twice_is_merged_once_and_counted_as_unmatched() {
     let mut run = Run::start("lookup", Suspicion::Clear);
--- a/lib/tests/test_ranking.rs
+++ b/lib/tests/test_ranking.rs
@@ -19,6 +19,10 @@
 use jasmineusher_lib::leaf::LeafTable;
 use jasmineusher_lib::leaf::Ranked;
 use jasmineusher_lib::leaf::RankingInput;
+use jasmineusher_lib::leaf_estimates::Usability;
+use jasmineusher_lib::leaf_notices::LeafNotice;
+use jasmineusher_lib::leaf_notices::NamedPause;
+use jasmineusher_lib::leaf_notices::Pause;
 use jasmineusher_lib::plan::Purpose;
 use jasmineusher_lib::zone_rtt::ZoneRtts;
 
@@ -41,7 +45,8 @@
         let key = |name| list.leaf_key(&LeafName::try_from(name).unwrap()).expect("it is listed");
         let (near, far) = (key("near"), key("far"));
         let own = HostName::try_from("front-1").unwrap();
-        let table = LeafTable::default().with_hosts(&HostList::default(), &list, &own);
+        let table =
+            LeafTable::default().with_hosts(&HostList::default(), &list, &own, Instant::now());
         let zone = Zone::try_from("near").unwrap();
         let mut zone_rtts = ZoneRtts::new(zone.clone(), Default::default());
         zone_rtts.record(&Zone::try_from("far").unwrap(), 24 * MS);
@@ -96,6 +101,23 @@
     assert_eq!(fixture.rank(Purpose::Hedge, now).best, None);
 }
 
+/// Guards against a leaf that is left idle after the time for which it wanted no calls.
+#[test]
+fn leaf_is_preferred_again_as_soon_as_the_time_that_it_named_is_over() {
+    let fixture = Fixture::new();
+    let now = Instant::now();
+    let near = fixture.table.get(fixture.near).unwrap();
+    let pause = Pause::try_from(3.0).expect("it is a time");
+    let notice = LeafNotice { is_leaving: false, pause: NamedPause::For(pause) };
+    near.notices.lock().record(&notice, now);
+    near.state().estimates.record_paused();
+    let chosen = |now| fixture.rank(Purpose::First, now).best.map(|choice| choice.leaf);
+    assert_eq!(chosen(now), Some(fixture.far));
+    assert_eq!(near.callable_in(Class::Urgent, now), Some(3_000 * MS));
+    assert_eq!(near.usability(now), Usability::Paused);
+    assert_eq!(chosen(now + 3_000 * MS), Some(fixture.near));
+}
+
 /// Guards against early hedges when the leafs of many shards shed calls: the expected time of the
 /// second-best replica decides when a hedge must start, so it must not include the cost of
 /// failures.
--- a/lib/tests/test_retry_after.rs
+++ b/lib/tests/test_retry_after.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jasmineusher_lib::catalogue::Class;
 use jasmineusher_lib::retry_after;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -29,6 +30,20 @@
     assert!((75..150).step_by(15).all(|from| in_window(from) < 40), "{times:?}");
 }
 
+/// Guards against refused requests that come back before a leaf takes them, or ordinary ones before
+/// urgent ones.
+#[test]
+fn urgent_requests_come_back_first_and_none_before_a_leaf_takes_them() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut times = |class| -> Vec<_> {
+        let time = |_| retry_after::retry_when_taken(1_000 * MS, class, &mut rng);
+        (0..100).map(time).collect()
+    };
+    let (urgent, ordinary) = (times(Class::Urgent), times(Class::Ordinary));
+    assert!(urgent.iter().all(|&time| time >= 1_000 * MS && time < 1_200 * MS), "{urgent:?}");
+    assert!(ordinary.iter().all(|&time| time >= 1_200 * MS && time < 1_500 * MS), "{ordinary:?}");
+}
+
 /// All processes have restarted while the platform does not respond. Requests that are held until
 /// the configuration arrives would reach their callers' timeouts.
 #[test]
