change_log: follow a store that comes back from an older copy

What callers would see: after the store had come back with data some seconds old, hosts ignored everything that was published until revisions had caught up: leafs that moved or left were still called, a new configuration was not taken, each watch got 410.

Cause: changes were ordered by revision alone, and revisions are given out again. The answers' header with the number of returns was read nowhere.

Hosts pass eras on in headers, which earlier builds ignore.

Found on the way: the view kept its old position when a new era changed nothing else; the state dump reads the position itself now.

Tests changed: test_published_changes.rs names the era, its checks are the same.

--- a/cli/tests/test_edge/edge_bed/store.rs
+++ b/cli/tests/test_edge/edge_bed/store.rs
@@ -45,12 +45,22 @@
 
 #[derive(Default)]
 struct State {
+    /// Number of returns from a copy.
+    era: u64,
+    /// Value of the header that names the era, if it is another than [`Self::era`].
+    named_era: Option<String>,
     revision: u64,
     items: BTreeMap<String, (Bytes, u64)>,
     log: Vec<Value>,
     fault: StoreFault,
 }
 
+/// A copy of the store's data, from which it may come back.
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, (Bytes, u64)>,
+}
+
 /// A running stand-in store. It ends when its runtime does.
 pub struct Store {
     /// Address that daemons connect to: that of the fault-injecting proxy in front of the store.
@@ -87,6 +97,28 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Returns a copy of the present data.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().unwrap();
+        StoreCopy { revision: state.revision, items: state.items.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is gone, its revisions are given out again,
+    /// and all answers name the next era, which it returns.
+    pub fn come_back(&self, copy: &StoreCopy) -> u64 {
+        let mut state = self.state.lock().unwrap();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.items = copy.items.clone();
+        state.log.retain(|event| event["revision"].as_u64() <= Some(copy.revision));
+        state.era
+    }
+
+    /// Names `era` in all answers from now on, or the true one.
+    pub fn name_era(&self, era: Option<&str>) {
+        self.state.lock().unwrap().named_era = era.map(str::to_owned);
+    }
+
     /// Writes a JSON value under the next revision.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, value.to_string().into());
@@ -135,9 +167,20 @@
         };
         let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
         *response.status_mut() = status.try_into().expect("the status is valid");
+        if let Some(era) = self.era_header() {
+            let era = era.parse().expect("the era is a valid header");
+            response.headers_mut().insert("store-era", era);
+        }
         Ok(response)
     }
 
+    /// Returns the value of the header that names the era; none before the first return.
+    fn era_header(&self) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let true_era = || (state.era > 0).then(|| state.era.to_string());
+        state.named_era.clone().or_else(true_era)
+    }
+
     fn read(&self, query: &HashMap<String, String>) -> (u16, Value) {
         let state = self.state.lock().unwrap();
         let Some((value, revision)) = state.items.get(&query["key"]) else {
@@ -170,6 +213,9 @@
         loop {
             {
                 let mut state = self.state.lock().unwrap();
+                if after > state.revision {
+                    return (410, json!({}));
+                }
                 if state.fault == StoreFault::HistoryLost {
                     state.fault = StoreFault::None;
                     return (410, json!({}));
--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -6,4 +6,5 @@
 mod leaf_rate_limits;
 mod serving;
 mod soak;
+mod store_copies;
 mod unreachable_leafs;
--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -58,6 +58,8 @@
 
 /// Rate limits that leafs name, of which one cannot be read.
 const LIMITS: [Option<&str>; 5] = [None, Some("0"), Some("4.5"), Some("40"), Some("many")];
+/// Times that leafs name when they shed, in seconds; one cannot be read.
+const RETRY_TIMES: [&str; 4] = ["0.4", "1.5", "0", "soon"];
 const FAULTS: [Fault; 6] = [
     Fault::None,
     Fault::Delay(Duration::from_millis(15)),
@@ -239,7 +241,7 @@
     version: &mut u64,
 ) -> String {
     let daemon = rng.random_range(1..DAEMONS);
-    match rng.random_range(0..15) {
+    match rng.random_range(0..18) {
         0..3 => {
             let leaf = bed.leafs.choose(rng).expect("there are leafs");
             let behaviour = *BEHAVIOURS.choose(rng).expect("there are behaviours");
@@ -296,6 +298,14 @@
             format!("leaf {} names the limit {limit:?}", leaf.instance)
         }
         12 => {
+            let leaf = bed.leafs.choose(rng).expect("there are leafs");
+            let time = *RETRY_TIMES.choose(rng).expect("there are times");
+            leaf.set_retry_after(&[time]);
+            leaf.set_behaviour(Behaviour::Shed);
+            format!("leaf {} sheds and names the time {time:?}", leaf.instance)
+        }
+        13 => come_back_from_copy(bed, rng, version).await,
+        14 => {
             for leaf in &bed.leafs {
                 bed.set_network_fault(leaf.addr, Fault::Reset);
             }
@@ -311,6 +321,22 @@
     }
 }
 
+/// Lets the store lose a configuration and entries of leafs, which are written again later. Returns
+/// a description.
+async fn come_back_from_copy(bed: &EdgeBed, rng: &mut StdRng, version: &mut u64) -> String {
+    let copy = bed.store.copy();
+    *version += 1;
+    bed.store.put("op/config", &configuration(*version, SHARDS));
+    let lost = bed.leafs.choose(rng).expect("there are leafs");
+    bed.store.remove(&format!("servers/{}", lost.instance));
+    tokio::time::sleep(STEP.mul_f64(rng.random_range(0.0..2.0))).await;
+    let era = bed.store.come_back(&copy);
+    tokio::time::sleep(STEP).await;
+    bed.store.put("op/config", &configuration(*version, SHARDS));
+    bed.leafs.iter().for_each(|leaf| bed.store.put_leaf(leaf, "ready", 1));
+    format!("the store comes back from a copy as era {era}, without version {version}")
+}
+
 /// Runs callers against a new test bed while `steps` faults are injected, then ends all faults and
 /// checks that every daemon applies the last configuration.
 async fn soak(seed: u64, steps: u64) {
--- a/lib/src/change_log.rs
+++ b/lib/src/change_log.rs
@@ -1,15 +1,19 @@
 //! Compacted log of the platform's changes, by key and revision, which hosts exchange.
 //!
-//! All changes are ordered by one sequence of revisions. A host that has applied all changes up to
-//! a revision is brought up to date by the changes after it. Invariant: a change of a lower
-//! revision never replaces one of a higher revision of the same key.
+//! All changes of an era of the platform are ordered by one sequence of revisions. A host that has
+//! applied all changes up to a revision is brought up to date by the changes after it. A later era
+//! starts with a full snapshot. Invariants: a change of a lower revision never replaces one of a
+//! higher revision of the same key and era; changes of an earlier era change nothing.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::Era;
+use crate::ids::Position;
 use crate::ids::Revision;
 
 /// Maximum number of removals that are kept; older ones are dropped. A host that has not applied
@@ -48,46 +52,91 @@
     pub changes: Vec<Change>,
 }
 
+impl ChangeSet {
+    fn subjects(&self) -> BTreeSet<&Subject> {
+        self.changes.iter().map(|change| &change.subject).collect()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct LatestChange {
     revision: Revision,
     value: Option<Bytes>,
 }
 
-/// Latest change of each subject.
+/// Latest change of each subject in the latest era.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     latest: BTreeMap<Subject, LatestChange>,
-    position: Revision,
+    position: Position,
     /// Highest revision of the removals that were dropped.
     dropped_up_to: Revision,
 }
 
 impl ChangeLog {
-    /// Returns the revision up to which all changes have been applied; 0 before the first snapshot.
-    pub fn position(&self) -> Revision {
+    /// Returns the position up to which all changes have been applied; revision 0 before the first
+    /// snapshot.
+    pub fn position(&self) -> Position {
         self.position
     }
 
-    /// Applies changes and returns those that are newer than the recorded ones, including the
-    /// removals of subjects that a full snapshot does not contain.
-    pub fn apply(&mut self, set: ChangeSet) -> Vec<Change> {
+    /// Returns whether changes of `era` can be applied: they are of the latest era, or start a
+    /// later one.
+    pub fn accepts(&self, era: Era, set: &ChangeSet) -> bool {
+        era == self.position.era || era > self.position.era && set.whole
+    }
+
+    /// Applies changes of `era` and returns those that are newer than the recorded ones, including
+    /// the removals of subjects that a full snapshot does not contain. Changes that are not accepted
+    /// (see [`Self::accepts`]) have no effect.
+    pub fn apply(&mut self, era: Era, set: ChangeSet) -> Vec<Change> {
+        if !self.accepts(era, &set) {
+            return Vec::new();
+        }
+        if era > self.position.era {
+            return self.start_era(era, set);
+        }
         let mut new_changes = Vec::new();
         if set.whole {
             new_changes = self.removals_implied_by(&set);
         }
         new_changes.extend(set.changes);
         new_changes.retain(|change| self.record(change));
-        self.position = self.position.max(set.position);
+        self.position.revision = self.position.revision.max(set.position);
         self.drop_old_removals();
         new_changes
     }
 
+    /// Replaces the log by the full snapshot with which an era starts. Returns the changes to what
+    /// was known before.
+    fn start_era(&mut self, era: Era, set: ChangeSet) -> Vec<Change> {
+        let before = std::mem::take(&mut self.latest);
+        self.position = Position { era, revision: set.position };
+        self.dropped_up_to = Revision(0);
+        let is_known = |change: &Change| {
+            before.get(&change.subject).is_some_and(|latest| latest.value == change.value)
+        };
+        let present = set.subjects();
+        let missing = before
+            .iter()
+            .filter(|(subject, latest)| latest.value.is_some() && !present.contains(subject));
+        let removals = missing.map(|(subject, _)| Change {
+            subject: subject.clone(),
+            revision: set.position,
+            value: None,
+        });
+        let mut new_changes: Vec<Change> = removals.collect();
+        new_changes.extend(set.changes.iter().filter(|change| !is_known(change)).cloned());
+        for change in set.changes.iter().chain(&new_changes) {
+            self.record(change);
+        }
+        new_changes
+    }
+
     fn removals_implied_by(&self, set: &ChangeSet) -> Vec<Change> {
+        let present = set.subjects();
         let is_removed = |subject: &Subject, latest: &LatestChange| {
-            latest.value.is_some()
-                && latest.revision <= set.position
-                && set.changes.iter().all(|change| change.subject != *subject)
+            latest.value.is_some() && latest.revision <= set.position && !present.contains(subject)
         };
         let removed_keys =
             self.latest.iter().filter(|(subject, latest)| is_removed(subject, latest));
@@ -122,10 +171,17 @@
         }
     }
 
-    /// Returns the changes after a revision, or a full snapshot if the revision is 0 or removals
-    /// after it have been dropped.
-    pub fn since(&self, revision: Revision) -> ChangeSet {
-        let whole = revision < self.dropped_up_to || revision == Revision(0);
+    /// Returns the changes after a position. Returns a full snapshot if the position is of an
+    /// earlier era, its revision is 0 or removals after it have been dropped; nothing if it is of a
+    /// later era.
+    pub fn since(&self, after: Position) -> ChangeSet {
+        let revision = after.revision;
+        if after.era > self.position.era {
+            return ChangeSet { position: Revision(0), whole: false, changes: Vec::new() };
+        }
+        let whole = after.era < self.position.era
+            || revision < self.dropped_up_to
+            || revision == Revision(0);
         let is_included = |latest: &LatestChange| {
             if whole { latest.value.is_some() } else { latest.revision > revision }
         };
@@ -136,6 +192,6 @@
         };
         let included = self.latest.iter().filter(|(_, latest)| is_included(latest));
         let changes = included.map(|(subject, latest)| change(subject, latest)).collect();
-        ChangeSet { position: self.position, whole, changes }
+        ChangeSet { position: self.position.revision, whole, changes }
     }
 }
--- a/lib/src/cluster_state.rs
+++ b/lib/src/cluster_state.rs
@@ -12,8 +12,9 @@
 use crate::connection_share::HostCounts;
 use crate::fleet::Fleet;
 use crate::fleet_budget::FleetBudget;
+use crate::ids::Era;
 use crate::ids::LeafHash;
-use crate::ids::Revision;
+use crate::ids::Position;
 use crate::opaque_view::ViewCell;
 use crate::outage::OutageTracker;
 use crate::rate_limit::HostRank;
@@ -71,18 +72,18 @@
 }
 
 impl ClusterState {
-    /// Applies published changes and replaces the view if they affect it.
-    pub fn apply_changes(&self, set: ChangeSet, source: ChangeSource, now: Instant) {
+    /// Applies published changes of `era` and replaces the view if they affect it.
+    pub fn apply_changes(&self, era: Era, set: ChangeSet, source: ChangeSource, now: Instant) {
         let grace_until = self.outage.lock().unwrap().grace_until(now);
-        let changed = self.subscription.lock().unwrap().apply(set, source, grace_until, now);
+        let changed = self.subscription.lock().unwrap().apply(era, set, source, grace_until, now);
         self.changed.notify_waiters();
         if changed {
             self.rebuild_view(now);
         }
     }
 
-    /// Waits until changes beyond the revision `after` have been applied, at most for `limit`.
-    pub async fn wait_past(&self, after: Revision, limit: Duration) {
+    /// Waits until changes beyond the position `after` have been applied, at most for `limit`.
+    pub async fn wait_past(&self, after: Position, limit: Duration) {
         let wait = async {
             loop {
                 let notified = self.changed.notified();
@@ -107,9 +108,9 @@
         self.views.set(view);
     }
 
-    /// Returns the revision up to which all changes have been applied. It is 0 before the
+    /// Returns the position up to which all changes have been applied. Its revision is 0 before the
     /// first full snapshot, from the platform or from a peer, has been applied.
-    pub fn position(&self) -> Revision {
+    pub fn position(&self) -> Position {
         self.subscription.lock().unwrap().position()
     }
 
@@ -119,7 +120,8 @@
         self.views.get().catalogue.is_some()
     }
 
-    /// Removes expired leafs once their grace period is over, for as long as the process runs.
+    /// Removes expired leafs once their grace period is over, and applies configurations that were
+    /// held back, for as long as the process runs.
     pub async fn run_expiry(self: Arc<Self>) {
         let mut is_settling = true;
         loop {
@@ -128,8 +130,7 @@
             // The end of the settling phase changes the shares of connections.
             let was_settling = is_settling;
             is_settling = self.fleet.lock().unwrap().is_settling(now);
-            if self.subscription.lock().unwrap().remove_expired(now) || was_settling && !is_settling
-            {
+            if self.subscription.lock().unwrap().apply_due(now) || was_settling && !is_settling {
                 self.rebuild_view(now);
             }
         }
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -78,6 +78,7 @@
     ready: bool,
     version: u64,
     position: u64,
+    era: u64,
     platform_silent_ms: u64,
     is_cut_off: bool,
     connections: usize,
@@ -137,6 +138,7 @@
 
     async fn handle(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
         let path = req.uri().path().to_owned();
+        let headers = req.headers().clone();
         let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
         let Ok(body) = body else { return Ok(reply(StatusCode::BAD_REQUEST, Bytes::new())) };
         let body = body.to_bytes();
@@ -159,7 +161,14 @@
             }
             SUSPECTS_PATH => encoded_response(self.suspects.answer_announcement(&body)),
             LIMITS_PATH => encoded_response(self.limits.answer_report(&body)),
-            CHANGES_PATH => encoded_response(self.link.answer_changes(&body).await),
+            CHANGES_PATH => match self.link.answer_changes(&headers, &body).await {
+                Ok((headers, body)) => {
+                    let mut response = reply(StatusCode::OK, body);
+                    response.headers_mut().extend(headers);
+                    response
+                }
+                Err(e) => encoded_response(Err(e)),
+            },
             _ => reply(StatusCode::NOT_FOUND, "no such path"),
         })
     }
@@ -189,11 +198,13 @@
                 repeated: state.limiter.sent().repeated,
             }
         });
+        let position = self.cluster_state.position();
         let platform_silence = self.cluster_state.outage.lock().unwrap().time_since_answer(now);
         EdgeState {
             ready: self.is_ready(),
             version: view.catalogue.as_ref().map_or(0, |c| c.version.0),
-            position: view.position.0,
+            position: position.revision.0,
+            era: position.era.0,
             platform_silent_ms: platform_silence.as_millis() as u64,
             is_cut_off: self.tier.reach.lock().unwrap().is_cut_off(),
             connections: self.edge.connections(),
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -63,6 +63,15 @@
     /// The platform no longer has the changes after the last revision read; everything is read
     /// again.
     HistoryLost = 211,
+    /// The platform has come back from an older copy of its data; what serves is kept, and everything
+    /// is read again.
+    StoreEraChanged = 212,
+    /// Changes of another era than the known one were not applied: they are older, or do not start a
+    /// later era.
+    StoreEraIgnored = 213,
+    /// A configuration of a lower version was published after the platform came back from an older
+    /// copy; it comes into force unless another one is published shortly after it.
+    ConfigurationHeld = 214,
     /// A leaf failed several times in a row and gets no calls for a while.
     LeafEjected = 300,
     /// A leaf was lost while a request ran on it; the request is suspected of crashing leafs and
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -11,6 +11,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +29,9 @@
 use crate::http_client::HttpCall;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpClientError;
+use crate::http_client::HttpReply;
+use crate::ids::Era;
+use crate::ids::Position;
 use crate::ids::Revision;
 use crate::log_event;
 use crate::subscription::ChangeSource;
@@ -35,6 +40,13 @@
 
 /// HTTP path of an exchange of [`ExchangeMessage`]s.
 pub const EXCHANGE_PATH: &str = "/fleet/exchange";
+/// Header of [`CHANGES_PATH`] with the era of the requester's or the reply's position. A host that
+/// does not send it knows no eras.
+const ERA_HEADER: HeaderName = HeaderName::from_static("x-jasmineusher-era");
+/// Header of the reply of [`CHANGES_PATH`] with the era in which the latest configuration known to
+/// the replying host was certainly published.
+const CONFIGURATION_ERA_HEADER: HeaderName =
+    HeaderName::from_static("x-jasmineusher-configuration-era");
 /// HTTP path of a long poll for published changes.
 pub const CHANGES_PATH: &str = "/fleet/changes";
 
@@ -173,7 +185,7 @@
         let their_position = reply.position;
         self.apply_message(reply);
         let after = self.cluster_state.position();
-        if their_position > after && self.cannot_read_platform() {
+        if their_position != after.revision && self.cannot_read_platform() {
             self.fetch_changes(peer, Duration::ZERO).await?;
         }
         Ok(())
@@ -187,11 +199,19 @@
 
     async fn fetch_changes(&self, peer: SocketAddr, wait: Duration) -> Result<bool> {
         let after = self.cluster_state.position();
-        let request = ChangesRequest { after, wait };
+        let request = ChangesRequest { after: after.revision, wait };
         let limit = wait + CALL_TIMEOUT / 2;
-        let reply: ChangesReply = self.call(peer, CHANGES_PATH, &request, limit).await?;
-        self.cluster_state.apply_changes(reply.set, ChangeSource::Peer, Instant::now());
-        Ok(reply.is_fresh)
+        let mut call = HttpCall::post(peer, CHANGES_PATH, encode(&request), limit);
+        call.headers.insert(ERA_HEADER, after.era.0.into());
+        let reply = self.exchange_call(call).await?;
+        let era = read_era(&reply.headers, &ERA_HEADER).unwrap_or_default();
+        let configuration_era =
+            read_era(&reply.headers, &CONFIGURATION_ERA_HEADER).unwrap_or_default();
+        let reply: ChangesReply = rmp_serde::from_slice(&reply.body)
+            .map_err(|source| FleetLinkError::Unreadable { peer, source })?;
+        let source = ChangeSource::Peer { configuration_era };
+        self.cluster_state.apply_changes(era, reply.set, source, Instant::now());
+        Ok(reply.is_fresh && era >= after.era)
     }
 
     /// Posts a message to another host and decodes the reply, which must come within `limit`.
@@ -202,16 +222,22 @@
         message: &impl Serialize,
         limit: Duration,
     ) -> Result<T> {
-        let body = encode(message);
-        self.tier.counters.peer_bytes.add(body.len() as u64);
-        let reply = self.client.call(HttpCall::post(peer, path, body, limit)).await;
+        let call = HttpCall::post(peer, path, encode(message), limit);
+        let reply = self.exchange_call(call).await?;
+        rmp_serde::from_slice(&reply.body)
+            .map_err(|source| FleetLinkError::Unreadable { peer, source })
+    }
+
+    async fn exchange_call(&self, call: HttpCall) -> Result<HttpReply> {
+        let peer = call.peer;
+        self.tier.counters.peer_bytes.add(call.body.len() as u64);
+        let reply = self.client.call(call).await;
         let reply = reply.map_err(|source| FleetLinkError::Call { peer, source })?;
         if reply.status != 200 {
             return Err(FleetLinkError::Refused { peer, status: reply.status });
         }
         self.tier.counters.peer_bytes.add(reply.body.len() as u64);
-        rmp_serde::from_slice(&reply.body)
-            .map_err(|source| FleetLinkError::Unreadable { peer, source })
+        Ok(reply)
     }
 
     fn build_message(&self) -> ExchangeMessage {
@@ -224,7 +250,7 @@
         };
         let mut suspects = self.tier.quarantine.lock().unwrap().reports(now);
         suspects.truncate(MAX_SUSPECTS);
-        ExchangeMessage { cards, suspects, position: self.cluster_state.position() }
+        ExchangeMessage { cards, suspects, position: self.cluster_state.position().revision }
     }
 
     fn apply_message(&self, message: ExchangeMessage) {
@@ -264,21 +290,35 @@
         Ok(encode(&self.build_message()))
     }
 
-    /// Returns the encoded reply to another host's request for changes. Waits until there are
-    /// changes after the requested revision, at most for the requested time. Fails if the request
-    /// does not decode.
+    /// Returns the headers and the encoded reply to another host's request for changes. Waits until
+    /// there are changes after the requested position, at most for the requested time. Fails if the
+    /// request does not decode.
     pub async fn answer_changes(
         &self,
+        headers: &HeaderMap,
         body: &[u8],
-    ) -> std::result::Result<Bytes, rmp_serde::decode::Error> {
-        let ChangesRequest { after, wait } = rmp_serde::from_slice(body)?;
+    ) -> std::result::Result<(HeaderMap, Bytes), rmp_serde::decode::Error> {
+        let ChangesRequest { after: revision, wait } = rmp_serde::from_slice(body)?;
+        // A host that knows no eras gets the changes of the present one.
+        let era = read_era(headers, &ERA_HEADER);
+        let era = era.unwrap_or_else(|| self.cluster_state.position().era);
+        let after = Position { era, revision };
         self.cluster_state.wait_past(after, wait.min(READER_WAIT)).await;
-        let set = self.cluster_state.subscription.lock().unwrap().since(after);
         let is_fresh = !self.cannot_read_platform();
-        Ok(encode(&ChangesReply { set, is_fresh }))
+        let subscription = self.cluster_state.subscription.lock().unwrap();
+        let mut headers = HeaderMap::new();
+        headers.insert(ERA_HEADER, subscription.position().era.0.into());
+        headers.insert(CONFIGURATION_ERA_HEADER, subscription.configuration_era().0.into());
+        let set = subscription.since(after);
+        Ok((headers, encode(&ChangesReply { set, is_fresh })))
     }
 }
 
+/// Reads an era from a header. Returns nothing if it is absent or no number.
+fn read_era(headers: &HeaderMap, name: &HeaderName) -> Option<Era> {
+    headers.get(name)?.to_str().ok()?.parse().ok().map(Era)
+}
+
 /// Encodes a message without field names.
 pub(crate) fn encode(message: &impl Serialize) -> Bytes {
     rmp_serde::to_vec(message).expect("message types serialise").into()
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -91,6 +92,8 @@
     pub body: Bytes,
     /// Signature of a peer message; `None` for other calls, which are not signed.
     pub signature: Option<String>,
+    /// Further headers.
+    pub headers: HeaderMap,
     /// Time allowed for the call.
     pub limit: Duration,
 }
@@ -98,14 +101,14 @@
 impl HttpCall {
     /// Creates a `GET` call of a path.
     pub fn get(peer: SocketAddr, path: impl Into<String>, limit: Duration) -> Self {
-        let (method, body) = (Method::GET, Bytes::new());
-        Self { peer, method, path: path.into(), body, signature: None, limit }
+        let (method, headers, body) = (Method::GET, HeaderMap::new(), Bytes::new());
+        Self { peer, method, path: path.into(), body, signature: None, headers, limit }
     }
 
     /// Creates a `POST` call with a body.
     pub fn post(peer: SocketAddr, path: impl Into<String>, body: Bytes, limit: Duration) -> Self {
-        let method = Method::POST;
-        Self { peer, method, path: path.into(), body, signature: None, limit }
+        let (method, headers) = (Method::POST, HeaderMap::new());
+        Self { peer, method, path: path.into(), body, signature: None, headers, limit }
     }
 }
 
@@ -118,6 +121,8 @@
     pub revision: Option<u64>,
     /// Signature in the header [`SIGNATURE_HEADER`]; `None` if it is absent.
     pub signature: Option<String>,
+    /// All headers of the response.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -172,12 +177,13 @@
     }
 
     async fn send(&self, call: HttpCall) -> Result<Response<Incoming>> {
-        let HttpCall { peer, method, path, body, signature, .. } = call;
+        let HttpCall { peer, method, path, body, signature, headers, .. } = call;
         let mut req = Request::builder().method(method).uri(format!("http://{peer}{path}"));
         if let Some(signature) = signature {
             req = req.header(SIGNATURE_HEADER, signature);
         }
-        let req = req.body(Full::new(body)).expect("an address and a path make a valid URI");
+        let mut req = req.body(Full::new(body)).expect("an address and a path make a valid URI");
+        req.headers_mut().extend(headers);
         self.inner.request(req).await.map_err(|source| {
             if source.is_connect() {
                 HttpClientError::Connect { peer, source }
@@ -197,9 +203,11 @@
         let status = response.status().as_u16();
         let revision = header(REVISION_HEADER).and_then(|text| text.parse().ok());
         let signature = header(SIGNATURE_HEADER);
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES);
         let body = body.collect().await;
         let body = body.map_err(|source| HttpClientError::Body { peer, path, source })?;
-        Ok(HttpReply { status, revision, signature, body: body.to_bytes() })
+        let body = body.to_bytes();
+        Ok(HttpReply { status, revision, signature, headers: head.headers, body })
     }
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -163,6 +163,11 @@
     /// Revision of a value published by the platform. Higher is newer.
     Revision(u64)
 );
+number_type!(
+    /// How often the platform has come back from an older copy of its data. Revisions are given out
+    /// again in each era.
+    Era(u64)
+);
 number_type!(
     /// Number of a leaf call within its query; never reused in the same query.
     Attempt(u32)
@@ -173,6 +178,15 @@
     Incarnation(u64)
 );
 
+/// Place in the sequence of the platform's changes.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Era of the platform.
+    pub era: Era,
+    /// Revision within the era; 0 before the first change.
+    pub revision: Revision,
+}
+
 impl LeafHash {
     /// Computes the hash of a leaf's name.
     pub fn of(name: &LeafName) -> Self {
--- a/lib/src/leaf_directory.rs
+++ b/lib/src/leaf_directory.rs
@@ -6,6 +6,7 @@
 //! unless its entry was published again.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -105,6 +106,21 @@
         EntryEffect::Applied
     }
 
+    /// Applies an entry from an older copy of the platform. Unlike one that a leaf has published
+    /// since, it does not bring back a leaf whose removal is known.
+    pub fn apply_copied_entry(
+        &mut self,
+        leaf: PublishedLeaf,
+        revision: Revision,
+        now: Instant,
+    ) -> EntryEffect {
+        let removed = self.tombstones.get(&leaf.instance).map(|tombstone| tombstone.entry_version);
+        if removed.is_some_and(|entry_version| leaf.entry_version <= entry_version) {
+            return EntryEffect::Stale;
+        }
+        self.apply_entry(leaf, revision, now)
+    }
+
     /// Applies the removal of a leaf's entry. `grace_until` is given during an outage of the
     /// platform and shortly after it, when the entry may have expired only because of the outage: a
     /// live leaf is kept until then. Returns whether the leaf was in the directory.
@@ -151,4 +167,16 @@
     pub fn leafs(&self) -> impl Iterator<Item = &DirectoryLeaf> {
         self.leafs.values()
     }
+
+    /// Returns the leafs that are reached under their address. Of several that are published under
+    /// one address, the one that started last has taken it over.
+    pub fn reached_leafs(&self) -> impl Iterator<Item = &DirectoryLeaf> {
+        let born_ms = |listed: &DirectoryLeaf| listed.leaf.entry_version.born_ms;
+        let mut latest_born: HashMap<SocketAddr, u64> = HashMap::new();
+        for listed in self.leafs() {
+            let latest = latest_born.entry(listed.leaf.addr).or_default();
+            *latest = (*latest).max(born_ms(listed));
+        }
+        self.leafs().filter(move |listed| born_ms(listed) == latest_born[&listed.leaf.addr])
+    }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod catalogue;
 pub mod client;
 pub mod caller_connections;
+pub mod configuration_order;
 pub mod connection_manager;
 pub mod connection_share;
 pub mod control;
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -420,7 +420,7 @@
             request = req.id.to_str().unwrap_or_default(),
             entry = opaque_entry.entry.name.as_str(),
             version = view.catalogue.as_ref().map_or(0, |c| c.version.0),
-            position = view.position.0,
+            position = view.position.revision.0,
             view_age_ms = view.made_at.elapsed().as_millis() as u64,
             outcome = ?kind,
             reason = ?reason,
--- a/lib/src/opaque_view.rs
+++ b/lib/src/opaque_view.rs
@@ -10,7 +10,7 @@
 use crate::hosts::HostList;
 use crate::ids::GroupKey;
 use crate::ids::LeafKey;
-use crate::ids::Revision;
+use crate::ids::Position;
 use crate::leaf::LeafTable;
 use crate::opaque_catalogue::OpaqueCatalogue;
 
@@ -25,8 +25,8 @@
     pub leafs: Arc<LeafTable>,
     /// Leafs of each group; the index is the group's [`GroupKey`].
     pub groups: Arc<Vec<Vec<LeafKey>>>,
-    /// Revision up to which all published changes are included.
-    pub position: Revision,
+    /// Position up to which all published changes are included.
+    pub position: Position,
     /// Time at which the view was made.
     pub made_at: Instant,
 }
@@ -39,7 +39,7 @@
             hosts: Arc::default(),
             leafs: Arc::default(),
             groups: Arc::default(),
-            position: Revision(0),
+            position: Position::default(),
             made_at: now,
         }
     }
--- a/lib/src/platform_store.rs
+++ b/lib/src/platform_store.rs
@@ -8,6 +8,7 @@
 use crate::backend::BoxFuture;
 use crate::change_log::Change;
 use crate::http_client::HttpClientError;
+use crate::ids::Position;
 use crate::ids::Revision;
 use crate::leaf_directory::PublishedLeaf;
 use crate::opaque_catalogue::CallerLimits;
@@ -59,8 +60,8 @@
     pub changes: Vec<Change>,
     /// Key after which the next page starts; absent on the last page.
     pub next: Option<String>,
-    /// Revision of the platform when the page was read.
-    pub position: Revision,
+    /// Position of the platform when the page was read.
+    pub position: Position,
 }
 
 /// Result of a watch.
@@ -70,8 +71,8 @@
     Changes {
         /// Changes in the order of their revisions.
         changes: Vec<Change>,
-        /// Revision up to which `changes` is complete.
-        position: Revision,
+        /// Position up to which `changes` is complete.
+        position: Position,
     },
     /// The platform no longer keeps the changes after the requested revision, so all keys must be
     /// listed again.
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -63,6 +63,8 @@
     Unchanged,
     /// The platform no longer keeps the changes since the current position.
     HistoryLost,
+    /// The platform is in another era than the known one, or its era changed during a list.
+    EraChanged,
 }
 
 impl Subscriber {
@@ -105,10 +107,11 @@
                     log_event!(
                         warn,
                         Event::HistoryLost,
-                        position = self.cluster_state.position().0
+                        position = self.cluster_state.position().revision.0
                     );
                     is_listed = false;
                 }
+                Ok(Progress::EraChanged) => is_listed = false,
                 Err(_) => {
                     let pause = RETRY_PAUSE.saturating_mul(1 << self.failures.min(MAX_DOUBLINGS));
                     self.failures += 1;
@@ -150,7 +153,7 @@
         if self.cluster_state.outage.lock().unwrap().record_failure(requested_at)
             == Transition::BecameUnreachable
         {
-            let position = self.cluster_state.position().0;
+            let position = self.cluster_state.position().revision.0;
             log_event!(warn, Event::PlatformUnreachable, position, cause = with_sources(e));
         }
     }
@@ -163,6 +166,10 @@
         let mut after = None;
         loop {
             let page = first_answer(|| self.platform_store.list(after.clone())).await?;
+            if page.position.era != position.era {
+                self.record_answer();
+                return Ok(Progress::EraChanged);
+            }
             changes.extend(page.changes);
             after = page.next;
             if after.is_none() {
@@ -170,8 +177,9 @@
             }
         }
         self.record_answer();
-        let set = ChangeSet { position, whole: true, changes };
-        self.cluster_state.apply_changes(set, ChangeSource::Platform, Instant::now());
+        let set = ChangeSet { position: position.revision, whole: true, changes };
+        let now = Instant::now();
+        self.cluster_state.apply_changes(position.era, set, ChangeSource::Platform, now);
         Ok(Progress::Listed)
     }
 
@@ -181,17 +189,21 @@
         // reachable again.
         let is_failing = self.cluster_state.outage.lock().unwrap().is_failing();
         let watched = if is_failing {
-            first_answer(|| self.platform_store.watch(after, Duration::ZERO)).await?
+            first_answer(|| self.platform_store.watch(after.revision, Duration::ZERO)).await?
         } else {
-            self.platform_store.watch(after, WATCH_TIME).await?
+            self.platform_store.watch(after.revision, WATCH_TIME).await?
         };
         match watched {
             WatchResult::HistoryLost => Ok(Progress::HistoryLost),
             WatchResult::Changes { changes, position } => {
                 self.record_answer();
+                if position.era != after.era {
+                    return Ok(Progress::EraChanged);
+                }
                 let is_unchanged = changes.is_empty();
-                let set = ChangeSet { position, whole: false, changes };
-                self.cluster_state.apply_changes(set, ChangeSource::Platform, Instant::now());
+                let set = ChangeSet { position: position.revision, whole: false, changes };
+                let now = Instant::now();
+                self.cluster_state.apply_changes(position.era, set, ChangeSource::Platform, now);
                 Ok(if is_unchanged { Progress::Unchanged } else { Progress::Changed })
             }
         }
@@ -208,7 +220,7 @@
                 info,
                 Event::PlatformReachable,
                 away_ms,
-                position = self.cluster_state.position().0
+                position = self.cluster_state.position().revision.0
             );
         }
     }
--- a/lib/src/subscription.rs
+++ b/lib/src/subscription.rs
@@ -1,17 +1,24 @@
 //! Applies published changes and builds the view from them.
 //!
-//! Invariants: the version of the configuration never decreases within a process; a configuration
-//! or a leaf's entry that is unusable affects nothing else.
+//! Invariants: a configuration that was published before never replaces a later one (see
+//! [`crate::configuration_order`]); a configuration or a leaf's entry that is unusable affects
+//! nothing else.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::change_log::Change;
 use crate::change_log::ChangeLog;
 use crate::change_log::ChangeSet;
 use crate::change_log::Subject;
+use crate::configuration_order::ConfigurationMark;
+use crate::configuration_order::ConfigurationOrder;
+use crate::configuration_order::HOLD_TIME;
+use crate::configuration_order::Verdict;
 use crate::connection_share::FarRank;
 use crate::connection_share::HostCounts;
 use crate::connection_share::preference;
@@ -22,15 +29,18 @@
 use crate::hosts::LeafHost;
 use crate::hosts::LeafRegistry;
 use crate::hosts::RawHostList;
+use crate::ids::Era;
 use crate::ids::GroupKey;
 use crate::ids::HostName;
 use crate::ids::IndexVersion;
 use crate::ids::LeafKey;
 use crate::ids::LeafName;
+use crate::ids::Position;
 use crate::ids::Revision;
 use crate::ids::Zone;
 use crate::ids::sanitized_name;
 use crate::leaf_directory::DirectoryLeaf;
+use crate::leaf_directory::EXPIRY_GRACE;
 use crate::leaf_directory::EntryEffect;
 use crate::leaf_directory::LeafDirectory;
 use crate::log_event;
@@ -51,18 +61,49 @@
     /// The change was read from the platform.
     Platform,
     /// The change was received from another host.
-    Peer,
+    Peer {
+        /// Era in which the peer's latest configuration was certainly published.
+        configuration_era: Era,
+    },
 }
 
 impl ChangeSource {
     fn name(self) -> &'static str {
         match self {
             Self::Platform => "platform",
-            Self::Peer => "peer",
+            Self::Peer { .. } => "peer",
         }
     }
 }
 
+/// Origin of a set of changes.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    source: ChangeSource,
+    era: Era,
+    /// Whether the set is the first one of its era, so that it may be that of an older copy.
+    starts_era: bool,
+}
+
+impl Origin {
+    /// Returns the era in which a configuration of the set was certainly published, if one is known.
+    fn configuration_era(self) -> Option<Era> {
+        match self.source {
+            ChangeSource::Peer { configuration_era } => Some(configuration_era),
+            ChangeSource::Platform if self.starts_era => None,
+            ChangeSource::Platform => Some(self.era),
+        }
+    }
+}
+
+/// A configuration that comes into force at a later time.
+struct HeldConfiguration {
+    raw: RawConfiguration,
+    mark: ConfigurationMark,
+    revision: Revision,
+    until: Instant,
+}
+
 /// Counts hosts by their distance to a zone, for the division of the connections to its leafs.
 pub trait HostCounter {
     /// Returns the numbers of hosts near to and far from a zone.
@@ -74,6 +115,10 @@
     decoder: Box<dyn Decoder>,
     own: HostName,
     change_log: ChangeLog,
+    configuration_order: ConfigurationOrder,
+    held: Option<HeldConfiguration>,
+    /// Era in which the latest known configuration was certainly published.
+    configuration_era: Era,
     directory: LeafDirectory,
     groups: GroupRegistry,
     registry: LeafRegistry,
@@ -88,6 +133,9 @@
             decoder,
             own,
             change_log: ChangeLog::default(),
+            configuration_order: ConfigurationOrder::default(),
+            held: None,
+            configuration_era: Era::default(),
             directory: LeafDirectory::default(),
             groups: GroupRegistry::default(),
             registry: LeafRegistry::default(),
@@ -96,42 +144,77 @@
         }
     }
 
-    /// Returns the revision up to which all changes have been applied. It is 0 before the
+    /// Returns the position up to which all changes have been applied. Its revision is 0 before the
     /// first full snapshot, from the platform or from a peer, has been applied.
-    pub fn position(&self) -> Revision {
+    pub fn position(&self) -> Position {
         self.change_log.position()
     }
 
-    /// Returns the changes after `revision`, for a host that has applied all up to it.
-    pub fn since(&self, revision: Revision) -> ChangeSet {
-        self.change_log.since(revision)
+    /// Returns the changes after a position, for a host that has applied all up to it.
+    pub fn since(&self, after: Position) -> ChangeSet {
+        self.change_log.since(after)
+    }
+
+    /// Returns the era in which the latest known configuration was certainly published.
+    pub fn configuration_era(&self) -> Era {
+        self.configuration_era
     }
 
-    /// Applies changes and returns whether the view must be rebuilt. `grace_until` is set during
-    /// and shortly after an outage of the platform, when entries of live leafs may expire; until
-    /// then, a live leaf stays usable although its entry was removed.
+    /// Applies changes of `era` and returns whether the view must be rebuilt. `grace_until` is set
+    /// during and shortly after an outage of the platform, when entries of live leafs may expire;
+    /// until then, a live leaf stays usable although its entry was removed. The same holds for
+    /// entries that the first snapshot of a later era lacks.
     pub fn apply(
         &mut self,
+        era: Era,
         set: ChangeSet,
         source: ChangeSource,
         grace_until: Option<Instant>,
         now: Instant,
     ) -> bool {
-        let new_changes = self.change_log.apply(set);
-        let mut changed = false;
+        let before = self.position();
+        if !self.change_log.accepts(era, &set) {
+            let (era, known) = (era.0, before.era.0);
+            log_event!(info, Event::StoreEraIgnored, era, known, source = source.name());
+            return false;
+        }
+        let is_new_era = era > before.era;
+        let starts_era = is_new_era || before.revision == Revision(0);
+        let new_changes = self.change_log.apply(era, set);
+        let mut grace_until = grace_until;
+        if is_new_era && before.revision != Revision(0) {
+            grace_until = grace_until.max(Some(now + EXPIRY_GRACE));
+            self.log_new_era(before, new_changes.len(), source);
+        }
+        let origin = Origin { source, era, starts_era };
+        let mut changed = is_new_era;
         for change in new_changes {
             changed |= match &change.subject {
-                Subject::Configuration => self.apply_configuration(&change, source),
+                Subject::Configuration => self.apply_configuration(&change, origin, now),
                 Subject::Leaf(instance) => {
                     let instance = instance.clone();
-                    self.apply_leaf_change(&instance, &change, source, grace_until, now)
+                    self.apply_leaf_change(&instance, &change, origin, grace_until, now)
                 }
             };
         }
         changed
     }
 
-    fn apply_configuration(&mut self, change: &Change, source: ChangeSource) -> bool {
+    fn log_new_era(&self, before: Position, changes: usize, source: ChangeSource) {
+        let after = self.position();
+        log_event!(
+            warn,
+            Event::StoreEraChanged,
+            era = after.era.0,
+            revision = after.revision.0,
+            era_before = before.era.0,
+            revision_before = before.revision.0,
+            changes,
+            source = source.name()
+        );
+    }
+
+    fn apply_configuration(&mut self, change: &Change, origin: Origin, now: Instant) -> bool {
         // Requests need a configuration, so the last one stays in force when its key is removed.
         let Some(value) = &change.value else { return false };
         let raw = match self.decoder.configuration(value) {
@@ -147,27 +230,68 @@
             }
         };
         let version = IndexVersion(raw.version);
-        let current = self.catalogue.as_ref().map(|catalogue| catalogue.version);
-        if current.is_some_and(|current| version <= current) {
-            log_event!(
-                warn,
-                Event::ConfigurationStale,
-                version = version.0,
-                revision = change.revision.0
-            );
-            return false;
+        let published_in = origin.configuration_era();
+        self.configuration_era = published_in.unwrap_or_default();
+        let mark = ConfigurationMark { version, digest: xxh3_64(value), published_in };
+        let revision = change.revision;
+        match self.configuration_order.judge(mark) {
+            Verdict::Apply => {
+                self.held = None;
+                self.put_in_force(raw, revision, origin.source.name());
+                true
+            }
+            Verdict::Hold => {
+                log_event!(
+                    info,
+                    Event::ConfigurationHeld,
+                    version = version.0,
+                    revision = revision.0
+                );
+                let until = now + HOLD_TIME;
+                self.held = Some(HeldConfiguration { raw, mark, revision, until });
+                false
+            }
+            Verdict::Confirm => {
+                self.held = None;
+                false
+            }
+            Verdict::Stale => {
+                let (version, revision) = (version.0, revision.0);
+                log_event!(warn, Event::ConfigurationStale, version, revision);
+                false
+            }
         }
+    }
+
+    fn put_in_force(
+        &mut self,
+        raw: RawConfiguration,
+        revision: Revision,
+        source_name: &'static str,
+    ) {
+        let version = raw.version;
         let catalogue = self.validate_configuration(raw);
         log_event!(
             info,
             Event::ConfigurationApplied,
-            version = version.0,
-            revision = change.revision.0,
+            version,
+            revision = revision.0,
             entries = catalogue.len(),
-            source = source.name()
+            source = source_name
         );
         self.catalogue = Some(Arc::new(catalogue));
-        true
+    }
+
+    /// Puts a held configuration in force if its time has come. Returns whether it did.
+    fn apply_held(&mut self, now: Instant) -> bool {
+        match self.held.take_if(|held| held.until <= now) {
+            Some(HeldConfiguration { raw, mark, revision, .. }) => {
+                self.configuration_order.apply_held(mark);
+                self.put_in_force(raw, revision, "held");
+                true
+            }
+            None => false,
+        }
     }
 
     fn validate_configuration(&mut self, raw: RawConfiguration) -> OpaqueCatalogue {
@@ -194,10 +318,11 @@
         &mut self,
         instance: &str,
         change: &Change,
-        source: ChangeSource,
+        origin: Origin,
         grace_until: Option<Instant>,
         now: Instant,
     ) -> bool {
+        let source = origin.source;
         let Some(value) = &change.value else {
             let known = self.directory.remove_entry(instance, grace_until, now);
             log_event!(
@@ -226,7 +351,11 @@
         };
         let state = format!("{:?}", leaf.state);
         let entry_version = leaf.entry_version;
-        let effect = self.directory.apply_entry(leaf, change.revision, now);
+        let effect = if origin.starts_era {
+            self.directory.apply_copied_entry(leaf, change.revision, now)
+        } else {
+            self.directory.apply_entry(leaf, change.revision, now)
+        };
         log_event!(
             info,
             Event::LeafUpdated,
@@ -241,9 +370,15 @@
         effect == EntryEffect::Applied
     }
 
-    /// Removes leafs whose entries expired and were not published again within the grace period.
-    /// Returns whether the view must be rebuilt.
-    pub fn remove_expired(&mut self, now: Instant) -> bool {
+    /// Removes leafs whose entries expired and were not published again within the grace period, and
+    /// applies a configuration that was held back until now. Returns whether the view must be
+    /// rebuilt.
+    pub fn apply_due(&mut self, now: Instant) -> bool {
+        let is_applied = self.apply_held(now);
+        self.remove_expired(now) || is_applied
+    }
+
+    fn remove_expired(&mut self, now: Instant) -> bool {
         let expired = self.directory.remove_expired(now);
         for leaf in &expired {
             log_event!(info, Event::LeafExpired, leaf = leaf.as_str());
@@ -289,7 +424,7 @@
     fn list_leafs(&mut self, hosts: &dyn HostCounter) -> Vec<LeafHost> {
         let mut listed = Vec::new();
         let mut far_leafs: HashMap<GroupKey, Vec<f64>> = HashMap::new();
-        for directory_leaf in self.directory.leafs() {
+        for directory_leaf in self.directory.reached_leafs() {
             let group = self.groups.key(&directory_leaf.leaf.group);
             let Some(host) = leaf_host(directory_leaf) else { continue };
             let counts = hosts.count(&directory_leaf.leaf.zone);
--- a/lib/tests/test_published_changes.rs
+++ b/lib/tests/test_published_changes.rs
@@ -11,8 +11,10 @@
 use jasmineusher_lib::change_log::Subject;
 use jasmineusher_lib::connection_share::HostCounts;
 use jasmineusher_lib::hosts::HostState;
+use jasmineusher_lib::ids::Era;
 use jasmineusher_lib::ids::HostName;
 use jasmineusher_lib::ids::IndexVersion;
+use jasmineusher_lib::ids::Position;
 use jasmineusher_lib::ids::Revision;
 use jasmineusher_lib::leaf_directory::EXPIRY_GRACE;
 use jasmineusher_lib::leaf_directory::EntryEffect;
@@ -161,15 +163,15 @@
             if shuffle {
                 batch.push(change(*key, revision.saturating_sub(1).max(1), Some(42)));
             }
-            reader.apply(ChangeSet { position: Revision(revision), whole: false, changes: batch });
+            reader.apply(Era(0), ChangeSet { position: Revision(revision), whole: false, changes: batch });
             if polls[n] {
-                follower.apply(reader.since(follower.position()));
+                follower.apply(Era(0), reader.since(follower.position()));
             }
         }
-        follower.apply(reader.since(follower.position()));
+        follower.apply(Era(0), reader.since(follower.position()));
         prop_assert_eq!(follower.position(), reader.position());
         let latest_changes = |published: &ChangeLog| {
-            let mut all = published.since(Revision(0)).changes;
+            let mut all = published.since(Position::default()).changes;
             all.sort_by(|a, b| a.subject.cmp(&b.subject));
             all
         };
@@ -183,11 +185,11 @@
 fn whole_list_removes_missing_keys_unless_they_are_newer() {
     let mut published = ChangeLog::default();
     let set = |position, whole, changes| ChangeSet { position: Revision(position), whole, changes };
-    published.apply(set(5, true, vec![change(1, 3, Some(1)), change(2, 4, Some(1))]));
-    published.apply(set(9, false, vec![change(3, 9, Some(1))]));
-    let new_changes = published.apply(set(8, true, vec![change(1, 3, Some(1))]));
+    published.apply(Era(0), set(5, true, vec![change(1, 3, Some(1)), change(2, 4, Some(1))]));
+    published.apply(Era(0), set(9, false, vec![change(3, 9, Some(1))]));
+    let new_changes = published.apply(Era(0), set(8, true, vec![change(1, 3, Some(1))]));
     assert_eq!(new_changes, [change(2, 8, None)]);
-    assert_eq!(published.position(), Revision(9));
+    assert_eq!(published.position().revision, Revision(9));
 }
 
 /// Decodes a configuration from its version in decimal, and a live leaf from the letter `r`.
@@ -236,18 +238,21 @@
     };
     let configuration = || Subject::Configuration;
     assert!(subscription.apply(
+        Era(0),
         single_change(1, configuration(), "7"),
         ChangeSource::Platform,
         None,
         now
     ));
     assert!(!subscription.apply(
+        Era(0),
         single_change(2, configuration(), "6"),
-        ChangeSource::Peer,
+        ChangeSource::Peer { configuration_era: Era(0) },
         None,
         now
     ));
     assert!(!subscription.apply(
+        Era(0),
         single_change(3, configuration(), "\u{fffd}"),
         ChangeSource::Platform,
         None,
@@ -255,6 +260,7 @@
     ));
     assert_eq!(version(&mut subscription), Some(IndexVersion(7)));
     assert!(subscription.apply(
+        Era(0),
         single_change(4, configuration(), "12"),
         ChangeSource::Platform,
         None,
@@ -269,12 +275,14 @@
     let mut subscription = subscription(now);
     let subject = || Subject::Leaf("a".to_owned());
     assert!(subscription.apply(
+        Era(0),
         single_change(1, subject(), "r"),
         ChangeSource::Platform,
         None,
         now
     ));
     assert!(!subscription.apply(
+        Era(0),
         single_change(2, subject(), "?"),
         ChangeSource::Platform,
         None,
