bed: pass over ports on which a process listens

Cause: ports were counted up from the process id and not checked.

A connection to a port shows now whether a process listens there; binding would hand the socket to child processes forked at that moment.

--- a/bench/src/bed.rs
+++ b/bench/src/bed.rs
@@ -3,6 +3,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -34,6 +35,8 @@
 use crate::proxy::Fault;
 use crate::proxy::Network;
 
+/// Time within which a connection to a port shows that a process listens there.
+const PORT_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Key that all daemons and stand-in peers of a bed sign peer messages with.
 pub const BED_KEY: &str = "a-key-for-tests-only";
 /// Timeout of one query.
@@ -143,11 +146,21 @@
 
 /// Returns an address on a loopback IP, with a port below those of outgoing connections. Each call
 /// in this process returns another port until the range is used up, and other test processes start
-/// at other ports, 97 apart for consecutive process ids.
+/// at other ports, 97 apart for consecutive process ids. Ports on which a process listens are passed
+/// over.
 ///
 /// The address is not bound to check that it is free, since a child process that is forked at that
 /// moment would inherit the socket and keep the port in use a little longer.
 pub fn free_addr_on(ip: Ipv4Addr) -> SocketAddr {
+    loop {
+        let addr = next_addr(ip);
+        if TcpStream::connect_timeout(&addr, PORT_CHECK_TIMEOUT).is_err() {
+            return addr;
+        }
+    }
+}
+
+fn next_addr(ip: Ipv4Addr) -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first = std::process::id().wrapping_mul(97);
     let n = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
