--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -38,6 +38,27 @@
 pub use store::Store;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_jasmineusherd");
+/// Environment variable with the path of a daemon of another build.
+pub const OTHER_BUILD: &str = "JASMINEUSHER_OTHER_BUILD";
+
+/// The build of the daemon that a process runs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Build {
+    /// The build under test.
+    #[default]
+    Own,
+    /// The build that [`OTHER_BUILD`] names.
+    Other,
+}
+
+impl Build {
+    fn path(self) -> PathBuf {
+        match self {
+            Self::Own => DAEMON.into(),
+            Self::Other => std::env::var_os(OTHER_BUILD).expect("another build is named").into(),
+        }
+    }
+}
 /// Value of the `host` header of all requests in these tests.
 pub const HOST: &str = "salon.example";
 
@@ -79,12 +100,12 @@
         let name = format!("jasmineusher-edge-{}-{}.toml", std::process::id(), callers.port());
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).expect("the settings can be written");
-        let child = Self::spawn(&settings);
+        let child = Self::spawn(&settings, Build::Own);
         Self { callers, ready, control, settings, child }
     }
 
-    fn spawn(settings: &PathBuf) -> Child {
-        let mut command = Command::new(DAEMON);
+    fn spawn(settings: &PathBuf, build: Build) -> Child {
+        let mut command = Command::new(build.path());
         let log = File::options().append(true).create(true).open(log_path(settings));
         let log = log.expect("the log can be written");
         command.arg("--edge").env("JASMINEUSHER_BOOT", settings).stdout(log);
@@ -93,10 +114,15 @@
 
     /// Kills the process and starts a new one with the same settings.
     pub fn restart(&mut self) {
+        self.restart_as(Build::Own);
+    }
+
+    /// Kills the process and starts one of `build` with the same settings.
+    pub fn restart_as(&mut self, build: Build) {
         // The process may have ended already; only the start of the next one must succeed.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.child = Self::spawn(&self.settings);
+        self.child = Self::spawn(&self.settings, build);
     }
 
     /// Returns the log that the daemon has written so far.
--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -24,10 +24,12 @@
 use crate::crashing_requests::MAX_LATE_RUNS;
 use crate::edge_bed::Answer;
 use crate::edge_bed::Behaviour;
+use crate::edge_bed::Build;
 use crate::edge_bed::CRASHING_PATH;
 use crate::edge_bed::Caller;
 use crate::edge_bed::EdgeBed;
 use crate::edge_bed::Leaf;
+use crate::edge_bed::OTHER_BUILD;
 use crate::edge_bed::configuration;
 use crate::edge_bed::runs;
 use crate::edge_bed::store::StoreFault;
@@ -232,11 +234,35 @@
     assert!(late <= MAX_LATE_RUNS, "seed {seed}: the crashing request ran in {late} late attempts");
 }
 
+/// Which builds the daemons run that are restarted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Builds {
+    /// Only the build under test.
+    Own,
+    /// The build under test and another one, at random.
+    Mixed,
+}
+
+impl Builds {
+    /// Returns [`Builds::Mixed`] if another build is named in the environment.
+    fn from_env() -> Self {
+        if std::env::var_os(OTHER_BUILD).is_some() { Self::Mixed } else { Self::Own }
+    }
+
+    fn draw(self, rng: &mut StdRng) -> Build {
+        match self {
+            Self::Mixed if rng.random() => Build::Other,
+            Self::Own | Self::Mixed => Build::Own,
+        }
+    }
+}
+
 /// Injects or ends one random fault and returns its description. Daemon 0 is never restarted or
 /// paused, so that some callers are always served.
 async fn inject_fault(
     bed: &mut EdgeBed,
     losses: &[Arc<ConnectionLoss>],
+    builds: Builds,
     rng: &mut StdRng,
     version: &mut u64,
 ) -> String {
@@ -250,17 +276,19 @@
         }
         3 => {
             losses[daemon].allowed.store(true, Ordering::Relaxed);
-            bed.daemons[daemon].restart();
+            let build = builds.draw(rng);
+            bed.daemons[daemon].restart_as(build);
             tokio::time::sleep(STEP).await;
             losses[daemon].allowed.store(false, Ordering::Relaxed);
-            format!("daemon {daemon} is killed and restarted")
+            format!("daemon {daemon} is killed and restarted, build {build:?}")
         }
         4 => {
             bed.daemons[daemon].terminate();
             eventually("the daemon exits", async || bed.daemons[daemon].has_ended().then_some(()))
                 .await;
-            bed.daemons[daemon].restart();
-            format!("daemon {daemon} is shut down and restarted")
+            let build = builds.draw(rng);
+            bed.daemons[daemon].restart_as(build);
+            format!("daemon {daemon} is shut down and restarted, build {build:?}")
         }
         5 => {
             bed.daemons[daemon].signal("STOP");
@@ -340,8 +368,15 @@
 /// Runs callers against a new test bed while `steps` faults are injected, then ends all faults and
 /// checks that every daemon applies the last configuration.
 async fn soak(seed: u64, steps: u64) {
+    let builds = Builds::from_env();
     let mut rng = StdRng::seed_from_u64(seed);
     let mut bed = EdgeBed::start(SHARDS, REPLICAS, DAEMONS).await;
+    for daemon in &mut bed.daemons[1..] {
+        match builds.draw(&mut rng) {
+            Build::Own => {}
+            Build::Other => daemon.restart_as(Build::Other),
+        }
+    }
     let tally = Arc::new(Tally::default());
     let losses: Vec<_> = (0..DAEMONS).map(|_| Arc::new(ConnectionLoss::default())).collect();
     let callers: Vec<_> = (0..CALLERS)
@@ -357,7 +392,7 @@
     // Daemon 0 is never restarted, so the version of its configuration may only rise.
     let mut last_version = 0;
     for step in 0..steps {
-        let fault = inject_fault(&mut bed, &losses, &mut rng, &mut version).await;
+        let fault = inject_fault(&mut bed, &losses, builds, &mut rng, &mut version).await;
         if let Some(state) = bed.daemons[0].state().await {
             let applied_version = state["version"].as_u64().expect("the state dump has a version");
             assert!(
