--- a/lib/src/configuration_order.rs
+++ b/lib/src/configuration_order.rs
@@ -60,7 +60,7 @@
 
 impl ConfigurationOrder {
     /// Judges a configuration. One that is to be applied or confirmed counts as in force from now
-    /// on; one that was held must be judged as applied by [`Self::apply_held`].
+    /// on, one that is to be held only after [`Self::apply_held`].
     pub fn judge(&mut self, mark: ConfigurationMark) -> Verdict {
         let was_seen = self.seen.contains(&mark.digest);
         self.remember(mark.digest);
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -483,13 +483,6 @@
         }
     }
 
-    /// Returns the reason of a query that too few leafs take: they take it after a while, or no time
-    /// can be told.
-    fn lost_or_overloaded(&self) -> Reason {
-        let is_refused = self.excess_wait.is_some() && !self.may_have_run;
-        if is_refused { Reason::Overloaded } else { Reason::ReplicasLost }
-    }
-
     fn has_given_up_shard(&self) -> bool {
         self.shards.iter().any(|s| s.given_up)
     }
--- a/lib/src/query_outcome.rs
+++ b/lib/src/query_outcome.rs
@@ -81,6 +81,13 @@
         waits.get(missing.checked_sub(1)?).copied().filter(|wait| !wait.is_zero())
     }
 
+    /// Returns the reason of a query that too few leafs take: they take it after a while, or no time
+    /// can be told.
+    pub(crate) fn lost_or_overloaded(&self) -> Reason {
+        let is_refused = self.excess_wait.is_some() && !self.may_have_run;
+        if is_refused { Reason::Overloaded } else { Reason::ReplicasLost }
+    }
+
     fn outcome(&self) -> OutcomeKind {
         let merged = self.parts.len();
         if merged == self.shards.len() {
