Review: a request that crashes the leafs of some shards is never blocked

A script with 9 daemons and 10 shards. The leafs of 2 shards crash when they run the request; the answers of the others clear it each time.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -18,6 +18,7 @@
 use crate::bed::Machine;
 use crate::client;
 use crate::client::Sent;
+use crate::leaf::CRASHING_PATH;
 use crate::leaf::Fault;
 use crate::leaf::Kind;
 use crate::leaf::Leaf;
@@ -42,6 +43,7 @@
         "late-refusals" => late_refusals(&record, trouble),
         "failures-with-503" => failures_with_503(&record, trouble),
         "readers-turned-away" => readers_turned_away(&record, trouble),
+        "crashing-request" => crashing_request(&record, trouble),
         "lost-watch" => lost_watch(&record, trouble),
         _ => Err(format!("there is no case {case}")),
     }?;
@@ -106,10 +108,8 @@
                 for _ in 0..*count {
                     let id =
                         format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(leafs.len() as u32 + 3));
-                    let (runs, record) = (runs.clone(), record.clone());
-                    let leaf = Leaf::start(&id, service, zone, kind(), runs, record);
-                    store.put(&format!("servers/{id}"), &leaf.entry("ready", 1));
-                    leafs.push(leaf);
+                    let (runs, store, record) = (runs.clone(), store.clone(), record.clone());
+                    leafs.push(Leaf::start(&id, service, zone, kind(), runs, store, record));
                 }
             }
         }
@@ -355,3 +355,63 @@
     let due = acknowledged + CONFIG_APPLY;
     Ok(check_configuration(&bed, &sent, "salon-portal", due, in_touch) > 0)
 }
+
+/// A request crashes the leafs of two of ten shards, and comes again.
+fn crashing_request(record: &Arc<Record>, trouble: bool) -> Result {
+    let shards: Vec<_> = (0..10).map(|number| format!("careline{number}")).collect();
+    let names: Vec<_> = shards.iter().map(String::as_str).collect();
+    let quoted: Vec<_> = names.iter().map(|name| format!("\"{name}\"")).collect();
+    let service = |name: &&str| {
+        format!("{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":26}}")
+    };
+    let services: Vec<_> = names.iter().map(service).collect();
+    let text = format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"r-lookup\",\"host\":\"{HOST}\",\
+         \"prefix\":\"/goka902/\",\"kind\":\"safe\",\"timeout_ms\":1200,\
+         \"latency_goal_ms\":120,\"priority\":1,\"gather\":[{}],\"max_attempts\":2,\
+         \"top_k\":10,\"min_coverage\":0.89}}],\"services\":[{}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+        quoted.join(","),
+        services.join(",")
+    );
+    let kind = || Kind { slots: 2, queue: 12, work_ms: 7 };
+    let counts: Vec<_> = names.iter().map(|name| (*name, [1, 1, 1])).collect();
+    let bed = Bed::start(record, [4, 2, 3], &counts, kind, &text)?;
+    let stop = Arc::default();
+    let fronts: Vec<_> = bed.machines.iter().map(|machine| machine.front).collect();
+    let clients = bed.clients(18, &fronts, ("GET", "/goka902/"), Duration::from_millis(450), &stop);
+    sleep(Duration::from_secs(6));
+    // Each leaf of these two shards crashes when it begins to run the request.
+    let crashing = bed.leafs.iter().filter(|leaf| names[..2].contains(&leaf.service.as_str()));
+    if trouble {
+        crashing.for_each(|leaf| leaf.set_fault(Fault::Crashes));
+    }
+    let path = format!("/goka902{CRASHING_PATH}");
+    let mut retries = Vec::new();
+    for number in 0..30 {
+        let (addr, record) = (fronts[number * 4 % fronts.len()], record.clone());
+        let (id, path) = (format!("{:016x}", 0x5c41_0000_0000_0000 + number), path.clone());
+        let send = move || client::send(addr, "GET", HOST, &path, &id, 1_200, &record);
+        retries.push(std::thread::spawn(send));
+        sleep(Duration::from_secs(1));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let retries: Vec<_> = retries.into_iter().filter_map(|retry| retry.join().ok()).collect();
+    let others = join(clients);
+    let mut crashes: Vec<_> = bed.leafs.iter().flat_map(|leaf| leaf.crashes()).collect();
+    crashes.sort();
+    let third = crashes.get(2).copied();
+    let runs = bed.runs_by_id();
+    let is_late = |retry: &&Sent| third.is_some_and(|third| retry.sent_at > third + CONTACT);
+    let reached = retries.iter().filter(is_late).filter(|retry| runs.contains_key(&retry.id));
+    let reached = reached.count();
+    let served = others.iter().filter(|(_, sent)| sent.status == Some(200)).count();
+    record.say(format!("{} retries, {} crashes of leafs", retries.len(), crashes.len()));
+    record.say(format!("{served} of {} other requests were served", others.len()));
+    record.say(format!(
+        "BUDGET: {reached} retries reached leafs that were sent more than 5 s after the third \
+         crash (bound: 3)"
+    ));
+    Ok(reached > 3)
+}
--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -2,6 +2,7 @@
 //! time on a connection, echoed ids, and a seal on what it has run.
 
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -14,6 +15,12 @@
 use crate::http;
 use crate::http::Message;
 use crate::record::Record;
+use crate::store::Store;
+
+/// Part of the path of a request that may crash leafs.
+pub const CRASHING_PATH: &str = "/crash";
+/// Time after a crash until the leaf is back.
+const DOWNTIME: Duration = Duration::from_secs(3);
 
 /// What a leaf does wrong while its fault lasts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +36,8 @@
     FailsWith503 {
         per_thousand: u64,
     },
+    /// Crashes when it begins to run a request whose path contains [`CRASHING_PATH`].
+    Crashes,
 }
 
 /// One run of a request.
@@ -49,6 +58,9 @@
     answers: u64,
     faulty_answers: u64,
     wrong: u64,
+    is_down: bool,
+    connections: Vec<TcpStream>,
+    crashes: Vec<Instant>,
 }
 
 pub struct Leaf {
@@ -64,6 +76,7 @@
     freed: Condvar,
     fault: Mutex<Fault>,
     runs: Runs,
+    store: Arc<Store>,
     record: Arc<Record>,
 }
 
@@ -81,6 +94,7 @@
         zone: &str,
         kind: Kind,
         runs: Runs,
+        store: Arc<Store>,
         record: Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -97,21 +111,70 @@
             freed: Condvar::new(),
             fault: Mutex::new(Fault::None),
             runs,
+            store,
             record,
         });
+        leaf.publish("ready", 1);
         let acceptor = leaf.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let leaf = acceptor.clone();
-                std::thread::spawn(move || leaf.serve(stream));
-            }
-        });
+        std::thread::spawn(move || acceptor.accept(listener));
         leaf
     }
 
-    /// Returns the entry that the leaf keeps in the store.
-    pub fn entry(&self, state: &str, sequence: u64) -> String {
-        let Self { service, addr, zone, slots, born_ms, .. } = self;
+    /// Accepts connections; after a crash none for a while, and then as a new start of the leaf.
+    fn accept(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
+            let accepted = listener.accept();
+            if self.state.lock().unwrap().is_down {
+                drop((accepted, listener));
+                std::thread::sleep(DOWNTIME);
+                listener = loop {
+                    match TcpListener::bind(self.addr) {
+                        Ok(listener) => break listener,
+                        Err(_) => std::thread::sleep(Duration::from_millis(50)),
+                    }
+                };
+                self.state.lock().unwrap().is_down = false;
+                self.publish("ready", 1);
+                continue;
+            }
+            let Ok((stream, _)) = accepted else { continue };
+            if let Ok(stream) = stream.try_clone() {
+                self.state.lock().unwrap().connections.push(stream);
+            }
+            let leaf = self.clone();
+            std::thread::spawn(move || leaf.serve(stream));
+        }
+    }
+
+    fn crash(&self, id: &str) {
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.is_down {
+                return;
+            }
+            state.is_down = true;
+            state.crashes.push(Instant::now());
+            for connection in state.connections.drain(..) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+        self.record.line(format!("leaf {} of {}: crashes by {id}", self.id, self.service));
+        // Ends the wait for a connection.
+        let _ = TcpStream::connect(self.addr);
+    }
+
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().crashes.clone()
+    }
+
+    /// Writes the entry that the leaf keeps in the store.
+    fn publish(&self, state: &str, sequence: u64) {
+        self.store.put(&format!("servers/{}", self.id), &self.entry(state, sequence));
+    }
+
+    fn entry(&self, state: &str, sequence: u64) -> String {
+        let Self { service, addr, zone, slots, .. } = self;
+        let born_ms = self.born_ms + self.crashes().len() as u64;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"max_concurrency\":{slots},\"state\":\"{state}\",\
@@ -143,7 +206,7 @@
             if self.copies_late(&answer) {
                 late_copy = Some(answer.clone());
             }
-            if stream.write_all(&answer).is_err() {
+            if answer.is_empty() || stream.write_all(&answer).is_err() {
                 return;
             }
         }
@@ -191,6 +254,12 @@
         let (leaf, service) = (self.id.clone(), self.service.clone());
         let run = Run { id: id.to_owned(), leaf, service };
         self.runs.lock().unwrap().push(run);
+        if *self.fault.lock().unwrap() == Fault::Crashes && request.target().contains(CRASHING_PATH)
+        {
+            self.crash(id);
+            self.state.lock().unwrap().running -= 1;
+            return Vec::new();
+        }
         std::thread::sleep(self.work.min(deadline.saturating_duration_since(Instant::now())));
         self.state.lock().unwrap().running -= 1;
         self.freed.notify_one();
