leaf: a late refusal of another request is no statement about this one

Cause: the id of a response was compared with that of the call only if the response lacked X-Not-Executed, since a refusal may lack the id. A late copy of another request's refusal was therefore taken as the refusal of the next request on the connection.

The new tests failed before: "late-1 ran 2 times and was answered 503", with refusals that bear an id and without one.

A refusal is now a reply to the call if it repeats the call's id and no other one. Without an id it counts only as the first response on its connection, where no earlier request can be meant. Everything else is an unmatched reply: the call may have run, an unsafe request gets 502, and the connection is closed. The notices of a response to another call are ignored too, as a late copy's time to come back began earlier.

--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -32,6 +32,12 @@
     Slow(u64),
     /// Responds with status 503 and the header that guarantees that the request was not run.
     Shed,
+    /// Refuses the first request on each connection. Sends a copy of that refusal when the next
+    /// request arrives on the connection, then runs that request and responds to it.
+    LateRefusal {
+        /// Whether the refusal bears the id of the request.
+        names_request: bool,
+    },
     /// Responds like [`Behaviour::Shed`] after this many milliseconds.
     SlowShed(u64),
     /// Responds with status 503 without that header.
@@ -242,6 +248,7 @@
 
     async fn serve(self: Arc<Self>, stream: &mut TcpStream) {
         let mut buf = Vec::new();
+        let mut refusal = None;
         while let Some(head) = read_request(stream, &mut buf).await {
             self.arrivals.lock().unwrap().push(Instant::now());
             if head.target != self.instance {
@@ -256,6 +263,17 @@
                 "the call carries no remaining time of at most 2 s"
             );
             let behaviour = *self.behaviour.lock().unwrap();
+            if let Behaviour::LateRefusal { names_request } = behaviour {
+                let is_first = refusal.is_none();
+                let id = names_request.then_some(head.id.as_str());
+                let text = refusal.get_or_insert_with(|| refusal_of(id));
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                if is_first {
+                    continue;
+                }
+            }
             let is_run = !matches!(
                 behaviour,
                 Behaviour::Shed | Behaviour::SlowShed(_) | Behaviour::Unavailable
@@ -313,8 +331,8 @@
                 return None;
             }
             Behaviour::Shed | Behaviour::SlowShed(_) => format!(
-                "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n{leaving}{retry_after}\
-                 content-length: 0\r\n\r\n"
+                "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nx-request-id: {id}\r\n\
+                 {leaving}{retry_after}content-length: 0\r\n\r\n"
             ),
             Behaviour::Unavailable => format!(
                 "HTTP/1.1 503 Busy\r\nx-request-id: {id}\r\nx-response-seal: {signature}\r\n\
@@ -330,12 +348,20 @@
                 return None;
             }
             Behaviour::Large(bytes) => answer("200 OK", id, &"x".repeat(bytes)),
-            Behaviour::Normal | Behaviour::Slow(_) => answer("200 OK", id, &record),
+            Behaviour::Normal | Behaviour::Slow(_) | Behaviour::LateRefusal { .. } => {
+                answer("200 OK", id, &record)
+            }
         };
         stream.write_all(text.as_bytes()).await.ok()
     }
 }
 
+/// Returns a refusal of the request with this id, or one that does not say which request it is of.
+fn refusal_of(id: Option<&str>) -> String {
+    let id = id.map_or_else(String::new, |id| format!("x-request-id: {id}\r\n"));
+    format!("HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n{id}content-length: 0\r\n\r\n")
+}
+
 async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Head> {
     let end = loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -7,6 +7,7 @@
 mod edge_bed;
 mod infeasible_requests;
 mod extra_calls;
+mod late_refusals;
 mod leaf_notices;
 mod leaf_rate_limits;
 mod places;
--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -112,6 +112,12 @@
 
     /// Returns whether another exchange may be started on this connection.
     fn is_usable(&self, now: Instant) -> bool;
+
+    /// Returns whether no exchange has started on this connection, so that the first response can
+    /// only be to the next request. Returns false if that is not known.
+    fn is_unused(&self) -> bool {
+        false
+    }
 }
 
 /// A newly opened connection.
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -244,7 +244,12 @@
             state.limiter.record_sent(self.send.purpose);
         }
         self.cx.tier.reach.lock().unwrap().record_attempt(self.leaf.key, started);
-        let outgoing = self.outgoing(started);
+        let outgoing = OutgoingCall {
+            call: self.send.call,
+            leaf: &self.leaf.host,
+            remaining: self.cx.deadline.saturating_duration_since(started),
+            is_first_on_connection: held.conn().is_unused(),
+        };
         let result = self.exchange_or_cancel(held.conn(), &outgoing, started).await;
         let now = Instant::now();
         self.leaf.state().estimates.record_call_end(self.send.call);
@@ -424,11 +429,6 @@
         }
     }
 
-    fn outgoing(&self, now: Instant) -> OutgoingCall<'_> {
-        let remaining = self.cx.deadline.saturating_duration_since(now);
-        OutgoingCall { call: self.send.call, leaf: &self.leaf.host, remaining }
-    }
-
     /// Cancels the call on the leaf by a request on another connection, so that the call's own
     /// connection stays usable. Best effort: errors are ignored.
     async fn send_cancellation(&self) {
--- a/lib/src/http_leaf.rs
+++ b/lib/src/http_leaf.rs
@@ -181,4 +181,9 @@
         // next exchange.
         !self.sender.is_closed() && self.closes_at.is_none_or(|at| now < at)
     }
+
+    fn is_unused(&self) -> bool {
+        // A connection whose first exchange failed is never used again.
+        self.is_new
+    }
 }
--- a/lib/src/leaf_codec.rs
+++ b/lib/src/leaf_codec.rs
@@ -21,6 +21,9 @@
     pub leaf: &'a LeafHost,
     /// Time left until the query's deadline.
     pub remaining: Duration,
+    /// Whether the call is the first one on its connection, so that a response without an id can
+    /// only be its own.
+    pub is_first_on_connection: bool,
 }
 
 /// Error for a response that does not parse or belongs to another call than the one on whose
@@ -30,7 +33,8 @@
 pub struct UnmatchedReply {
     /// Description of the difference.
     pub cause: String,
-    /// What the response says about taking further calls, which holds for any call.
+    /// What the leaf says about taking further calls, if the response is to the call but cannot be
+    /// used. What the response to another call says may be out of date or of another leaf.
     pub notice: LeafNotice,
 }
 
--- a/lib/src/search_codec.rs
+++ b/lib/src/search_codec.rs
@@ -85,8 +85,7 @@
         if reply.call == call.call {
             Ok(reply)
         } else {
-            let cause = format!("the reply names {:?}", reply.call);
-            Err(UnmatchedReply { cause, notice: reply.notice })
+            Err(UnmatchedReply::new(format!("the reply names {:?}", reply.call)))
         }
     }
 
