call: a request that goes to the same leaf again uses an unused connection

A request that its only leaf had refused was answered 503 although the second call to that leaf ran it (REFUSED).

Cause: both calls bear the caller's request id. If the second one takes the connection of the first, a late copy of the first refusal has the right id and was believed. The id identifies a response only as long as a connection carries it once.

A call to a leaf that was called before for the shard now takes a pooled connection on which nothing was sent, or opens one, for which the connection that was idle for longest is closed if the limit is reached. Such calls are rare: a leaf is called again only if no other one may be.

--- a/cli/tests/test_edge/late_refusals.rs
+++ b/cli/tests/test_edge/late_refusals.rs
@@ -48,3 +48,11 @@
     assert_unsafe_requests_run_at_most_once(2, Behaviour::LateRefusal { names_request: false })
         .await;
 }
+
+/// Guards against the same fault where the only leaf gets a refused request again: a copy of its
+/// first refusal bears the right id.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_refusal_of_an_earlier_call_of_the_same_request_is_not_believed() {
+    assert_unsafe_requests_run_at_most_once(1, Behaviour::LateRefusal { names_request: true })
+        .await;
+}
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -191,7 +191,14 @@
                 not_sent()
             })?;
         }
-        match self.leaf.pool.acquire(self.cx.max_idle, Instant::now()) {
+        let (max_idle, now) = (self.cx.max_idle, Instant::now());
+        let acquired = if self.send.repeats_leaf {
+            // A late copy of the earlier response would name the id of this call too.
+            self.leaf.pool.acquire_unused(max_idle, now)
+        } else {
+            self.leaf.pool.acquire(max_idle, now)
+        };
+        match acquired {
             Acquired::Idle(conn) => Ok(conn),
             Acquired::Full => Err(not_sent()),
             Acquired::MayOpen => self.open_connection().await.map_err(|e| {
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -111,6 +111,8 @@
     pub cost: Duration,
     /// Whether the request was suspected of crashing leafs from the start and this is its only call.
     pub is_probe: bool,
+    /// Whether the leaf was called before for the same shard, possibly with the same request id.
+    pub repeats_leaf: bool,
 }
 
 /// Calls that the owner of the state machine has to make and cancel next.
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -31,6 +31,16 @@
     since: Instant,
 }
 
+impl PoolState {
+    fn reserve_slot(&mut self) -> Acquired {
+        if self.open >= self.limit {
+            return Acquired::Full;
+        }
+        self.open += 1;
+        Acquired::MayOpen
+    }
+}
+
 impl std::fmt::Debug for IdleConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("IdleConnection")
@@ -87,12 +97,25 @@
             }
             state.open -= 1;
         }
-        if state.open < state.limit {
-            state.open += 1;
-            Acquired::MayOpen
-        } else {
-            Acquired::Full
+        state.reserve_slot()
+    }
+
+    /// Returns a connection on which nothing was sent yet, or else reserves a slot for opening one.
+    /// Closes the connection that was idle for longest if the limit is reached.
+    pub fn acquire_unused(&self, max_idle: Duration, now: Instant) -> Acquired {
+        let mut state = self.state.lock().unwrap();
+        let is_fit = |idle: &IdleConnection| {
+            let idle_time = now.saturating_duration_since(idle.since);
+            idle.conn.is_unused() && idle.conn.is_usable(now) && idle_time <= max_idle
+        };
+        if let Some(index) = state.idle.iter().rposition(is_fit) {
+            return Acquired::Idle(state.idle.remove(index).conn);
+        }
+        if state.open >= state.limit && !state.idle.is_empty() {
+            state.idle.remove(0);
+            state.open -= 1;
         }
+        state.reserve_slot()
     }
 
     /// Puts back a connection whose exchange ended cleanly. Closes it if it is above the limit,
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -401,13 +401,14 @@
         let state = self.shard(shard);
         state.live += 1;
         state.has_no_alternative = false;
+        let repeats_leaf = state.tried.contains(&leaf);
         state.tried.push(leaf);
         self.live += 1;
         // A retry of a request that became suspected only in this query is no probe for others.
         let was_suspected = self.plan.suspicion == Suspicion::Suspected;
         let is_probe = was_suspected && self.suspicion == Suspicion::Suspected;
         let call = self.call_id(attempt, shard);
-        out.sends.push(SendCall { call, leaf, purpose, cost, is_probe });
+        out.sends.push(SendCall { call, leaf, purpose, cost, is_probe, repeats_leaf });
         attempt
     }
 
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -127,7 +127,8 @@
             self.relayed.controls.lock().unwrap().insert(id, control.clone());
             batch.calls.push(id);
             let (purpose, cost) = (Purpose::First, Duration::ZERO);
-            let send = SendCall { call: id, leaf: leaf.key, purpose, cost, is_probe: false };
+            let (is_probe, repeats_leaf) = (false, false);
+            let send = SendCall { call: id, leaf: leaf.key, purpose, cost, is_probe, repeats_leaf };
             tokio::spawn(Call::new(cx.clone(), leaf, send, control, now).run());
         }
     }
--- a/lib/tests/test_pool.rs
+++ b/lib/tests/test_pool.rs
@@ -16,7 +16,10 @@
 const MS: Duration = Duration::from_millis(1);
 
 /// A connection on which no request is ever answered.
-struct UnansweredConnection;
+#[derive(Default)]
+struct UnansweredConnection {
+    is_unused: bool,
+}
 
 impl LeafConnection for UnansweredConnection {
     fn exchange<'a>(
@@ -29,12 +32,16 @@
     fn is_usable(&self, _now: Instant) -> bool {
         true
     }
+
+    fn is_unused(&self) -> bool {
+        self.is_unused
+    }
 }
 
 fn pool_with_idle_connection(now: Instant) -> Pool {
     let pool = Pool::new(2);
     assert!(matches!(pool.acquire(max_idle(true), now), Acquired::MayOpen));
-    pool.put_back(Box::new(UnansweredConnection), now);
+    pool.put_back(Box::new(UnansweredConnection::default()), now);
     pool
 }
 
@@ -90,3 +97,22 @@
     }
     assert_eq!((pool.open_count(), pool.idle_count()), (1, 1));
 }
+
+/// Guards against an unsafe request that runs though it is answered 503: a leaf that is called again
+/// may send a late copy of its first refusal, which bears the same request id.
+#[test]
+fn call_to_a_leaf_that_was_called_before_uses_a_connection_on_which_nothing_was_sent() {
+    let now = Instant::now();
+    let pool = pool_with_idle_connection(now);
+    assert!(matches!(pool.acquire_unused(max_idle(false), now), Acquired::MayOpen));
+    pool.put_back(Box::new(UnansweredConnection { is_unused: true }), now);
+    assert_eq!((pool.open_count(), pool.idle_count()), (2, 2));
+    let Acquired::Idle(conn) = pool.acquire_unused(max_idle(false), now) else {
+        panic!("an unused connection is idle")
+    };
+    assert!(conn.is_unused());
+    let closed_for_a_new_one = pool.acquire_unused(max_idle(false), now);
+    assert!(matches!(closed_for_a_new_one, Acquired::MayOpen));
+    assert_eq!((pool.open_count(), pool.idle_count()), (2, 0));
+    assert!(matches!(pool.acquire_unused(max_idle(false), now), Acquired::Full));
+}
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -272,6 +272,22 @@
     assert_eq!(outcome.excess_wait, Some(Duration::from_millis(100)));
 }
 
+/// Guards against a retry on a connection that carried the refused call: its leaf may still send a
+/// copy of the refusal there.
+#[test]
+fn retry_at_a_leaf_that_was_called_before_is_marked() {
+    let mut run = Run::start("lookup", Suspicion::Clear);
+    assert!(run.calls.iter().all(|call| !call.repeats_leaf));
+    (0..3).for_each(|_| run.answer(run.calls.len() - 1, LeafStatus::Shed));
+    let of_last_shard: Vec<_> =
+        run.calls.iter().filter(|call| call.call.shard.0 == SHARDS - 1).collect();
+    for (number, call) in of_last_shard.iter().enumerate() {
+        let was_called = of_last_shard[..number].iter().any(|earlier| earlier.leaf == call.leaf);
+        assert_eq!(call.repeats_leaf, was_called, "call {number}");
+    }
+    assert!(of_last_shard.iter().any(|call| call.repeats_leaf), "a leaf was called twice");
+}
+
 #[test]
 fn reply_that_arrives_twice_is_merged_once_and_counted_as_unmatched() {
     let mut run = Run::start("lookup", Suspicion::Clear);
