read_schedule, fleet_link: a host follows a reader only as far as the reader knows

Cause: a reader whom the store did not answer said that it could read the store until its watch timed out, 5.5 s after the last answer, and the hosts that follow it believed that for each poll anew. What a reader says had no age, and the waits of watch, time-out and poll were constants that nothing added up.

Each host now keeps the moment up to which it certainly knows everything that was published. Readers tell it relative to the arrival of a poll, so that no delay makes it newer, and the clock runs on while a host is suspended. All waits are derived from the shortest of config_apply_ms, drain_ms and evacuate_ms in read_schedule, whose test plays followers of readers that hang, lag or are not answered, for bounds from 1.5 s to 17 s: the host asks the store itself in time whatever its readers do.

Readers of earlier builds do not tell the moment and are not followed.

--- a/lib/src/cluster_state.rs
+++ b/lib/src/cluster_state.rs
@@ -16,6 +16,7 @@
 use crate::ids::Position;
 use crate::opaque_view::ViewCell;
 use crate::outage::OutageTracker;
+use crate::pause_detector::SuspensionClock;
 use crate::rate_limit::HostRank;
 use crate::shared_budget::SharedFleetBudget;
 use crate::subscription::ChangeSource;
@@ -30,6 +31,8 @@
     pub subscription: Mutex<Subscription>,
     /// Reachability of the platform.
     pub outage: Mutex<OutageTracker>,
+    /// Clock of the moments up to which what was published is known.
+    pub clock: SuspensionClock,
     /// Membership table of the fleet.
     pub fleet: Mutex<Fleet>,
     /// Region of each zone, from the settings.
@@ -86,12 +89,25 @@
         }
     }
 
-    /// Waits until changes beyond the position `after` have been applied, at most for `limit`.
-    pub async fn wait_past(&self, after: Position, limit: Duration) {
+    /// Records that everything is known that was published until `at` by [`Self::clock`].
+    pub fn record_confirmation(&self, at: Instant) {
+        let at = at.min(self.clock.now());
+        self.outage.lock().unwrap().record_confirmation(at);
+    }
+
+    /// Returns the time since the moment up to which everything that was published is known.
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.outage.lock().unwrap().confirmation_age(now)
+    }
+
+    /// Waits until changes beyond the position `after` have been applied, or `is_over` holds after
+    /// an answer of the platform; at most for `limit`.
+    pub async fn wait_past(&self, after: Position, is_over: impl Fn() -> bool, limit: Duration) {
         let wait = async {
             loop {
                 let notified = self.changed.notified();
-                if self.position() > after {
+                if self.position() > after || is_over() {
                     return;
                 }
                 notified.await;
--- a/lib/src/edge_control.rs
+++ b/lib/src/edge_control.rs
@@ -96,6 +96,9 @@
     position: u64,
     era: u64,
     platform_silent_ms: u64,
+    /// Time since the moment up to which everything that was published is known; absent if there is
+    /// none.
+    confirmed_ms: Option<u64>,
     is_cut_off: bool,
     /// Home regions of the entries that may not be served anywhere.
     homes: BTreeMap<String, Vec<String>>,
@@ -248,6 +251,7 @@
             }
         });
         let position = self.cluster_state.position();
+        let confirmation_age = self.cluster_state.confirmation_age();
         let platform_silence = self.cluster_state.outage.lock().unwrap().time_since_answer(now);
         EdgeState {
             ready: self.is_ready(),
@@ -255,6 +259,7 @@
             position: position.revision.0,
             era: position.era.0,
             platform_silent_ms: platform_silence.as_millis() as u64,
+            confirmed_ms: confirmation_age.map(|age| age.as_millis() as u64),
             is_cut_off: self.tier.reach.lock().unwrap().is_cut_off(),
             homes: homes(&view),
             evacuated: view.places.evacuated().iter().cloned().collect(),
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -41,10 +41,12 @@
 use crate::outage::OutageTracker;
 use crate::pace_records;
 use crate::pause_detector::PauseDetector;
+use crate::pause_detector::SuspensionClock;
 use crate::platform_store::Decoder;
 use crate::platform_store::PlatformStore;
 use crate::quarantine::Quarantine;
 use crate::reach_monitor;
+use crate::read_schedule::ReadSchedule;
 use crate::relay_link::RelayLinks;
 use crate::request_forwarder::FleetForwarder;
 use crate::room_forwarding::ZoneForwarder;
@@ -99,6 +101,8 @@
     pub capacity: Option<HostCapacity>,
     /// Time allowed for a graceful shutdown, from its start to the end of the process.
     pub grace: Duration,
+    /// Waits by which changes of the platform are applied in time.
+    pub read_schedule: ReadSchedule,
     /// By how much calls to a cold leaf may exceed what it tolerates.
     pub cold_allowance: ColdAllowance,
 }
@@ -170,6 +174,7 @@
         let cluster_state = Arc::new(ClusterState {
             subscription: Mutex::new(subscription),
             outage: Mutex::new(OutageTracker::new(now)),
+            clock: SuspensionClock::new(),
             fleet: Mutex::new(fleet),
             regions: settings.regions.clone(),
             budget: budget.clone(),
@@ -185,7 +190,8 @@
         );
         let edge = Arc::new(Edge::new(coordinator, views.clone(), parts.caller_codec));
         let client = HttpClient::with_local_address(Some(settings.control.ip()));
-        let link = Arc::new(FleetLink::new(cluster_state.clone(), tier.clone(), client));
+        let link = FleetLink::new(cluster_state.clone(), tier.clone(), client);
+        let link = Arc::new(link.with_schedule(settings.read_schedule));
         let forwarder = FleetForwarder::new(cluster_state.clone(), tier.clone(), link.clone());
         let forwarder = Arc::new(forwarder);
         edge.set_forwarder(Box::new(forwarder.clone()));
@@ -221,7 +227,9 @@
             ready_path: parts.ready_path,
         });
         let subscriber = Subscriber::new(cluster_state.clone(), parts.platform_store, link.clone());
-        tokio::spawn(refresh_after_pauses(subscriber.interrupt.clone()));
+        let subscriber = subscriber.with_schedule(settings.read_schedule);
+        let interrupt = subscriber.interrupt.clone();
+        tokio::spawn(refresh_after_pauses(cluster_state.clone(), interrupt));
         tokio::spawn(subscriber.run());
         tokio::spawn(cluster_state.clone().run_expiry());
         tokio::spawn(ConnectionManager::new(cluster_state.clone(), tier.clone()).run());
@@ -329,12 +337,13 @@
 
 /// Checks for pauses of the process and suspensions of its host. Logs each one and makes the
 /// subscriber read from the platform again at once.
-async fn refresh_after_pauses(interrupt: Arc<Notify>) {
+async fn refresh_after_pauses(cluster_state: Arc<ClusterState>, interrupt: Arc<Notify>) {
     let mut detector = PauseDetector::new();
     loop {
         tokio::time::sleep(PAUSE_CHECK_INTERVAL).await;
         if let Some(pause) = detector.detect_pause() {
             log_event!(warn, Event::Paused, paused_ms = pause.as_millis() as u64);
+            cluster_state.outage.lock().unwrap().forget_confirmation();
             interrupt.notify_one();
         }
     }
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -6,6 +6,7 @@
 //! part of the protocol.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,6 +36,9 @@
 use crate::ids::Position;
 use crate::ids::Revision;
 use crate::log_event;
+use crate::read_schedule::MAX_POLL_WAIT;
+use crate::read_schedule::PollTimes;
+use crate::read_schedule::ReadSchedule;
 use crate::subscription::ChangeSource;
 use crate::suspect_report::SuspectReport;
 use crate::tier::Tier;
@@ -51,6 +55,11 @@
 /// Header of [`CHANGES_PATH`] by which the requester asks for evacuations too, and by which the reply
 /// says that it contains them. A host of an earlier build does not know it and could not read them.
 const EVACUATIONS_HEADER: HeaderName = HeaderName::from_static("x-jasmineusher-evacuations");
+/// Header of a request of [`CHANGES_PATH`] with the time since the requester was confirmed to know
+/// everything that was published, and of the reply with the time from the arrival of the request to
+/// the moment up to which the replying host was confirmed, which is negative if that was earlier;
+/// in whole milliseconds. A host of an earlier build does not know it.
+const CONFIRMED_HEADER: HeaderName = HeaderName::from_static("x-jasmineusher-confirmed-ms");
 /// HTTP path of a long poll for published changes.
 pub const CHANGES_PATH: &str = "/fleet/changes";
 
@@ -60,10 +69,10 @@
 const FAST_EXCHANGE_PAUSE: Duration = Duration::from_millis(250);
 /// Time after the start of the process in which it uses the shorter pause.
 const FAST_EXCHANGE_TIME: Duration = Duration::from_secs(2);
-/// Timeout of one call to another host. The timeout of a long poll is its wait plus half of this.
+/// Timeout of one call to another host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest wait of a long poll for changes that another host reads from the platform.
-const READER_WAIT: Duration = Duration::from_millis(1_200);
+/// Timeout of a request for changes that are known already.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest number of suspected requests in one message.
 const MAX_SUSPECTS: usize = 256;
 /// Time without an answer of the platform after which a host requests published changes from other
@@ -140,12 +149,19 @@
     cluster_state: Arc<ClusterState>,
     tier: Arc<Tier>,
     client: HttpClient,
+    schedule: ReadSchedule,
 }
 
 impl FleetLink {
     /// Creates a link that calls other hosts through `client`.
     pub fn new(cluster_state: Arc<ClusterState>, tier: Arc<Tier>, client: HttpClient) -> Self {
-        Self { cluster_state, tier, client }
+        Self { cluster_state, tier, client, schedule: ReadSchedule::default() }
+    }
+
+    /// Sets the waits of hosts that follow each other.
+    pub fn with_schedule(mut self, schedule: ReadSchedule) -> Self {
+        self.schedule = schedule;
+        self
     }
 
     /// Exchanges with one host after the other until the process ends.
@@ -191,7 +207,8 @@
         let after = self.cluster_state.position();
         let lacks_changes = their_position != after.revision || self.lacks_evacuations();
         if lacks_changes && self.cannot_read_platform() {
-            self.fetch_changes(peer, Duration::ZERO).await?;
+            let times = PollTimes { wait: Duration::ZERO, limit: FETCH_TIMEOUT };
+            self.fetch_changes(peer, times).await?;
         }
         Ok(())
     }
@@ -200,21 +217,27 @@
         self.cluster_state.subscription.lock().unwrap().lacks_evacuations()
     }
 
-    /// Long-polls a host that reads the platform for others and applies the changes that it
-    /// returns. Returns whether that host can currently read the platform.
-    pub async fn poll_reader(&self, reader: SocketAddr) -> Result<bool> {
-        self.fetch_changes(reader, READER_WAIT).await
+    /// Long-polls a host that reads the platform for others, records up to when that host knows
+    /// everything, and applies the changes that it returns. Returns whether it speaks for the
+    /// platform.
+    pub async fn poll_reader(&self, reader: SocketAddr, times: PollTimes) -> Result<bool> {
+        self.fetch_changes(reader, times).await
     }
 
-    async fn fetch_changes(&self, peer: SocketAddr, wait: Duration) -> Result<bool> {
+    async fn fetch_changes(&self, peer: SocketAddr, times: PollTimes) -> Result<bool> {
+        let PollTimes { wait, limit } = times;
+        let age = self.cluster_state.confirmation_age();
+        let sent_at = self.cluster_state.clock.now();
         let after = self.cluster_state.position();
         // A host that lacks evacuations needs a full snapshot.
         let revision = if self.lacks_evacuations() { Revision(0) } else { after.revision };
         let request = ChangesRequest { after: revision, wait };
-        let limit = wait + CALL_TIMEOUT / 2;
         let mut call = HttpCall::post(peer, CHANGES_PATH, encode(&request), limit);
         call.headers.insert(ERA_HEADER, after.era.0.into());
         call.headers.insert(EVACUATIONS_HEADER, HeaderValue::from_static("1"));
+        if let Some(age) = age {
+            call.headers.insert(CONFIRMED_HEADER, HeaderValue::from(age.as_millis() as u64));
+        }
         let reply = self.exchange_call(call).await?;
         let reply_headers = reply.headers;
         let era = read_era(&reply_headers, &ERA_HEADER).unwrap_or_default();
@@ -227,8 +250,15 @@
             true => ChangeSource::Peer { configuration_era },
             false => ChangeSource::EarlierPeer { configuration_era },
         };
+        let confirmed = read_number::<i64>(&reply_headers, &CONFIRMED_HEADER);
+        let speaks = reply.is_fresh && era >= after.era && has_evacuations;
+        // The request arrived after it was sent, so that the peer was confirmed at least up to this.
+        let confirmed_at = confirmed.filter(|_| speaks).and_then(|ms| shifted(sent_at, ms));
+        if let Some(at) = confirmed_at {
+            self.cluster_state.record_confirmation(at);
+        }
         self.cluster_state.apply_changes(era, reply.set, source, Instant::now());
-        Ok(reply.is_fresh && era >= after.era && has_evacuations)
+        Ok(confirmed_at.is_some())
     }
 
     /// Posts a message to another host and decodes the reply, which must come within `limit`.
@@ -312,6 +342,26 @@
         Ok(encode(&self.build_message()))
     }
 
+    /// Waits until this host has changes after the position of a requester that was confirmed
+    /// `theirs` before `arrived_at`, or can confirm it anew, or may no longer speak for the
+    /// platform; at most for `wait`.
+    async fn hold_poll(
+        &self,
+        after: Position,
+        theirs: Option<Duration>,
+        arrived_at: Instant,
+        wait: Duration,
+    ) {
+        let is_over = || {
+            let held = self.cluster_state.clock.now().saturating_duration_since(arrived_at);
+            let theirs = theirs.map(|age| age + held);
+            self.schedule.ends_poll(self.cluster_state.confirmation_age(), theirs)
+        };
+        let age = self.cluster_state.confirmation_age();
+        let limit = wait.min(MAX_POLL_WAIT).min(self.schedule.may_speak_for(age));
+        self.cluster_state.wait_past(after, is_over, limit).await;
+    }
+
     /// Returns the headers and the encoded reply to another host's request for changes. Waits until
     /// there are changes after the requested position, at most for the requested time. Fails if the
     /// request does not decode.
@@ -326,12 +376,19 @@
         let era = read_era(headers, &ERA_HEADER);
         let era = era.unwrap_or_else(|| self.cluster_state.position().era);
         let after = Position { era, revision };
-        self.cluster_state.wait_past(after, wait.min(READER_WAIT)).await;
-        let is_fresh = !self.cannot_read_platform();
+        let arrived_at = self.cluster_state.clock.now();
+        let theirs = read_number::<u64>(headers, &CONFIRMED_HEADER).map(Duration::from_millis);
+        self.hold_poll(after, theirs, arrived_at, wait).await;
+        let is_fresh = self.schedule.may_speak(self.cluster_state.confirmation_age())
+            && !self.cannot_read_platform();
+        let confirmed_at = self.cluster_state.outage.lock().unwrap().confirmed_at();
         let subscription = self.cluster_state.subscription.lock().unwrap();
         let mut headers = HeaderMap::new();
         headers.insert(ERA_HEADER, subscription.position().era.0.into());
         headers.insert(CONFIGURATION_ERA_HEADER, subscription.configuration_era().0.into());
+        if let Some(at) = confirmed_at {
+            headers.insert(CONFIRMED_HEADER, millis_between(arrived_at, at).into());
+        }
         let mut set = subscription.since(after);
         if wants_evacuations && !subscription.lacks_evacuations() {
             headers.insert(EVACUATIONS_HEADER, HeaderValue::from_static("1"));
@@ -342,9 +399,28 @@
     }
 }
 
-/// Reads an era from a header. Returns nothing if it is absent or no number.
+/// Reads a number from a header. Returns nothing if it is absent or no number.
+fn read_number<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 fn read_era(headers: &HeaderMap, name: &HeaderName) -> Option<Era> {
-    headers.get(name)?.to_str().ok()?.parse().ok().map(Era)
+    read_number(headers, name).map(Era)
+}
+
+/// Returns the whole milliseconds from `start` to `end`, rounded down; negative if `end` is earlier.
+fn millis_between(start: Instant, end: Instant) -> i64 {
+    match end.checked_duration_since(start) {
+        Some(later) => later.as_millis() as i64,
+        None => -(start.duration_since(end).as_millis() as i64) - 1,
+    }
+}
+
+/// Returns the time `ms` milliseconds after `start`, or before it if `ms` is negative. Returns
+/// nothing if that cannot be told.
+fn shifted(start: Instant, ms: i64) -> Option<Instant> {
+    let distance = Duration::from_millis(ms.unsigned_abs());
+    if ms < 0 { start.checked_sub(distance) } else { start.checked_add(distance) }
 }
 
 /// Encodes a message without field names.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -130,6 +130,7 @@
 pub mod rate_limit;
 pub mod reach_monitor;
 pub mod reaching_hosts;
+pub mod read_schedule;
 pub mod records;
 pub mod relay;
 pub mod relay_link;
--- a/lib/src/outage.rs
+++ b/lib/src/outage.rs
@@ -1,4 +1,5 @@
-//! Detection of outages of the platform, and the grace period for leafs after an outage.
+//! Detection of outages of the platform, the grace period for leafs after an outage, and the moment up
+//! to which everything that was published is known.
 //!
 //! While the platform is unreachable, leafs cannot renew their entries, and these expire. Their
 //! removal after an outage therefore does not mean that the leafs have stopped.
@@ -26,6 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct OutageTracker {
     last_answer_at: Instant,
+    confirmed_at: Option<Instant>,
     failing_since: Option<Instant>,
     grace_until: Option<Instant>,
 }
@@ -33,7 +35,7 @@
 impl OutageTracker {
     /// Creates a tracker that counts the platform as reachable at `now`.
     pub fn new(now: Instant) -> Self {
-        Self { last_answer_at: now, failing_since: None, grace_until: None }
+        Self { last_answer_at: now, confirmed_at: None, failing_since: None, grace_until: None }
     }
 
     /// Records that the platform answered at `now`.
@@ -58,6 +60,28 @@
         }
     }
 
+    /// Records that everything is known that was published until `at`. An earlier moment than the
+    /// known one has no effect.
+    pub fn record_confirmation(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Forgets up to when everything is known, after a pause of the process.
+    pub fn forget_confirmation(&mut self) {
+        self.confirmed_at = None;
+    }
+
+    /// Returns the moment up to which everything that was published is known; nothing if there is
+    /// none.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
+    /// Returns the time since [`Self::confirmed_at`].
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns whether the last call failed.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -23,11 +23,9 @@
 use crate::platform_store::PlatformStore;
 use crate::platform_store::Result;
 use crate::platform_store::WatchResult;
+use crate::read_schedule::ReadSchedule;
 use crate::subscription::ChangeSource;
 
-/// Time that one watch waits for changes. The loss of a watch's answer is detected only after that,
-/// which must leave time to apply a change within the time that the platform allows.
-const WATCH_TIME: Duration = Duration::from_secs(4);
 /// Pause after a watch that returned changes. Further changes accumulate meanwhile, which saves
 /// calls, as the platform charges for each watch.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
@@ -47,6 +45,7 @@
     link: Arc<FleetLink>,
     /// Readers that failed recently, and until when they are not polled.
     avoided: HashMap<SocketAddr, Instant>,
+    schedule: ReadSchedule,
     /// Number of calls to the platform that failed in a row.
     failures: u32,
     /// Ends the current call to the platform or a reader when notified, after a pause of the
@@ -81,11 +80,18 @@
             platform_store,
             link,
             avoided,
+            schedule: ReadSchedule::default(),
             failures: 0,
             interrupt: Arc::default(),
         }
     }
 
+    /// Sets the waits for changes.
+    pub fn with_schedule(mut self, schedule: ReadSchedule) -> Self {
+        self.schedule = schedule;
+        self
+    }
+
     /// Reads and applies changes for as long as the process runs.
     pub async fn run(mut self) {
         let mut is_listed = false;
@@ -133,15 +139,18 @@
     }
 
     /// Polls a host of the zone that reads the platform for others, if there is one that has not
-    /// failed recently. Returns whether it answered and can itself read the platform.
+    /// failed recently and time is left to follow it. Returns whether it answered and speaks for the
+    /// platform.
     async fn poll_any_reader(&mut self) -> bool {
+        let age = self.cluster_state.confirmation_age();
+        let Some(times) = self.schedule.poll_times(age) else { return false };
         let now = Instant::now();
         let readers = self.cluster_state.fleet.lock().unwrap().readers(now);
         self.avoided.retain(|_, until| now < *until);
         let usable = readers.iter().filter(|reader| !self.avoided.contains_key(reader));
         let Some(&reader) = usable.choose(&mut rand::rng()) else { return false };
         let polled = tokio::select! {
-            polled = self.link.poll_reader(reader) => polled,
+            polled = self.link.poll_reader(reader, times) => polled,
             () = self.interrupt.notified() => Ok(false),
         };
         let is_fresh = matches!(polled, Ok(true));
@@ -169,6 +178,7 @@
     /// Reads what the operator has published and all leafs. Changes made meanwhile are returned by
     /// the next watch, which starts from the revision at which the first page was read.
     async fn list(&self) -> Result<Progress> {
+        let requested_at = self.cluster_state.clock.now();
         let mut changes = Vec::new();
         let mut start: Option<Position> = None;
         for keys in [Keys::Operator, Keys::Leafs] {
@@ -189,6 +199,7 @@
         }
         let position = start.unwrap_or_default();
         self.record_answer();
+        self.cluster_state.record_confirmation(requested_at);
         let set = ChangeSet { position: position.revision, whole: true, changes };
         let now = Instant::now();
         self.cluster_state.apply_changes(position.era, set, ChangeSource::Platform, now);
@@ -200,10 +211,13 @@
         // After a failure, a watch with no waiting time is answered as soon as the platform is
         // reachable again.
         let is_failing = self.cluster_state.outage.lock().unwrap().is_failing();
-        let watched = if is_failing {
+        let wait = self.schedule.watch_wait(self.cluster_state.confirmation_age());
+        let wait = if is_failing { Duration::ZERO } else { wait };
+        let requested_at = self.cluster_state.clock.now();
+        let watched = if wait.is_zero() {
             first_answer(|| self.platform_store.watch(after.revision, Duration::ZERO)).await?
         } else {
-            self.platform_store.watch(after.revision, WATCH_TIME).await?
+            self.platform_store.watch(after.revision, wait).await?
         };
         match watched {
             WatchResult::HistoryLost => Ok(Progress::HistoryLost),
@@ -213,6 +227,12 @@
                     return Ok(Progress::EraChanged);
                 }
                 let is_unchanged = changes.is_empty();
+                // A watch without changes is answered at the end of its wait, another one at once.
+                let answered_at = match is_unchanged || wait.is_zero() {
+                    true => requested_at + wait,
+                    false => self.cluster_state.clock.now(),
+                };
+                self.cluster_state.record_confirmation(answered_at);
                 let set = ChangeSet { position: position.revision, whole: false, changes };
                 let now = Instant::now();
                 self.cluster_state.apply_changes(position.era, set, ChangeSource::Platform, now);
