subscriber: changes that exceed one answer are read in pages

A host stopped following the store for good when another writer left large entries among those of the leafs: its configuration and its leafs stayed as they were (report of operators on odd entries; found by its test).

Cause: a watch returns all changes at once. An answer beyond 8 MiB was an error like a lost one, so that the same watch was repeated and failed again. Lists come in pages, but nothing led back to them.

Evidence: entries_that_exceed_one_answer_together_are_read_in_pages failed before ("timed out waiting for: a daemon follows the store"); twelve entries of 700 kB are enough.

An answer that came and cannot be used, because it is too large or cannot be decoded, now makes the host list everything again.

The two other tests answer the report: entries that are nested 100,000 deep, with numbers beyond their types, with ports out of range and others, by watch, by list, from another host and through a reader. They pass with and without this change; no process ends, and each host follows the next configuration.

--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -10,6 +10,7 @@
 mod late_refusals;
 mod leaf_notices;
 mod leaf_rate_limits;
+mod odd_entries;
 mod places;
 mod room;
 mod serving;
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -53,7 +54,15 @@
         #[source]
         source: hyper_util::client::legacy::Error,
     },
-    /// The response body was cut off or exceeds [`MAX_BODY_BYTES`].
+    /// The response body exceeds [`MAX_BODY_BYTES`].
+    #[error("Answer of {peer} to {path} exceeds {MAX_BODY_BYTES} bytes")]
+    TooLarge {
+        /// Address of the called peer.
+        peer: SocketAddr,
+        /// Path and query string of the call.
+        path: String,
+    },
+    /// The response body was cut off.
     #[error("Reading the answer of {peer} to {path} failed")]
     Body {
         /// Address of the called peer.
@@ -206,7 +215,10 @@
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_BODY_BYTES);
         let body = body.collect().await;
-        let body = body.map_err(|source| HttpClientError::Body { peer, path, source })?;
+        let body = body.map_err(|source| match source.downcast_ref::<LengthLimitError>() {
+            Some(_) => HttpClientError::TooLarge { peer, path },
+            None => HttpClientError::Body { peer, path, source },
+        })?;
         let body = body.to_bytes();
         Ok(HttpReply { status, revision, signature, headers: head.headers, body })
     }
--- a/lib/src/platform_store.rs
+++ b/lib/src/platform_store.rs
@@ -51,6 +51,20 @@
     },
 }
 
+impl PlatformStoreError {
+    /// Returns whether an answer came that cannot be used, so that the same call would bring the
+    /// same answer again.
+    pub fn is_unusable_answer(&self) -> bool {
+        match self {
+            Self::Unreachable { source, .. } => {
+                matches!(**source, HttpClientError::TooLarge { .. })
+            }
+            Self::Unreadable { .. } => true,
+            Self::Refused { .. } => false,
+        }
+    }
+}
+
 /// Result of a call to the platform.
 pub type Result<T> = std::result::Result<T, PlatformStoreError>;
 
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -120,7 +120,10 @@
                     is_listed = false;
                 }
                 Ok(Progress::EraChanged) => is_listed = false,
-                Err(_) => {
+                Err(e) => {
+                    // Lists come in pages, so that changes which are too many for one answer of a
+                    // watch can still be read.
+                    is_listed &= !e.is_unusable_answer();
                     let pause = RETRY_PAUSE.saturating_mul(1 << self.failures.min(MAX_DOUBLINGS));
                     self.failures += 1;
                     let pause = pause.mul_f64(rand::rng().random_range(0.7..1.3));
