tests: leafs that stop within the head of a response

Operators reported successes with an empty or short body, framed as whole, after a leaf had stopped in the middle of its answer's head and closed. Here it does not happen: the HTTP library ends such an exchange with an error, and the call counts as broken.

--- a/cli/tests/test_edge/edge_bed/leaf.rs
+++ b/cli/tests/test_edge/edge_bed/leaf.rs
@@ -50,10 +50,56 @@
     ExtraResponse,
     /// Runs the request and closes the connection 5 bytes before the end of the response.
     Truncated,
+    /// Runs the request and sends only this many bytes of its response.
+    Cut {
+        /// Number of bytes that are sent.
+        bytes: usize,
+        framing: Framing,
+        ending: Ending,
+    },
     /// Runs the request and responds with a body of this many bytes.
     Large(usize),
 }
 
+/// How a response says where its body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    Length,
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+/// What a leaf does after a response that it has cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// Closes the connection.
+    Close,
+    /// Closes its direction of the connection and goes on reading.
+    CloseOneWay,
+    /// Keeps the connection open and sends nothing more.
+    Stall,
+}
+
+/// Returns the response to the request `id` with a signature and a body of one record, and the
+/// length of its head.
+pub fn framed_response(signature: &str, id: &str, framing: Framing) -> (String, usize) {
+    let record = format!("{:0<16}", "zz");
+    let (framing, body) = match framing {
+        Framing::Length => ("content-length: 16\r\n", record),
+        Framing::Chunked => {
+            ("transfer-encoding: chunked\r\n", format!("10\r\n{record}\r\n0\r\n\r\n"))
+        }
+        Framing::Close => ("connection: close\r\n", record),
+    };
+    // The line on the body comes first, so that a cut head may have it.
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{framing}x-response-seal: {signature}\r\nx-request-id: {id}\r\n\r\n"
+    );
+    let length = head.len();
+    (head + &body, length)
+}
+
 /// How a leaf is down after a request has crashed it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Downtime {
@@ -347,6 +393,20 @@
                 stream.write_all(&response.as_bytes()[..response.len() - 5]).await.ok()?;
                 return None;
             }
+            Behaviour::Cut { bytes, framing, ending } => {
+                let (text, _) = framed_response(&signature, id, framing);
+                stream.write_all(&text.as_bytes()[..bytes.min(text.len())]).await.ok()?;
+                match ending {
+                    Ending::Close => {}
+                    Ending::CloseOneWay => {
+                        stream.shutdown().await.ok()?;
+                        // Ends when the daemon closes its direction.
+                        while stream.read(&mut [0; 1_024]).await.is_ok_and(|bytes| bytes > 0) {}
+                    }
+                    Ending::Stall => std::future::pending().await,
+                }
+                return None;
+            }
             Behaviour::Large(bytes) => answer("200 OK", id, &"x".repeat(bytes)),
             Behaviour::Normal | Behaviour::Slow(_) | Behaviour::LateRefusal { .. } => {
                 answer("200 OK", id, &record)
--- a/cli/tests/test_edge/edge_bed/mod.rs
+++ b/cli/tests/test_edge/edge_bed/mod.rs
@@ -29,6 +29,8 @@
 pub use leaf::Behaviour;
 pub use leaf::CRASHING_PATH;
 pub use leaf::Downtime;
+pub use leaf::Ending;
+pub use leaf::Framing;
 pub use leaf::Leaf;
 pub use leaf::Site;
 pub use store::Store;
--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -4,6 +4,7 @@
 mod competing_callers;
 mod cold_leafs;
 mod crashing_requests;
+mod cut_heads;
 mod edge_bed;
 mod infeasible_requests;
 mod extra_calls;
