shutdown: work that cannot end before the process does is not begun

Cause: the end of the process was known from the signal on, and the time of work was measured, but nothing compared the two where work begins. At the end each request was answered with what there was.

Evidence: the three tests of planned_stops failed before.

shutdown keeps the end of the process and decides by the deadline of the work or by the measured times of its entry whether it may begin: when a request arrives, right before a call is written, and while a request waits. What may not begin is refused as not run, with the time after which another host takes it. What runs at the end is answered as before; what waits for another host or for its body is answered too.

--- a/cli/tests/test_edge/main.rs
+++ b/cli/tests/test_edge/main.rs
@@ -13,6 +13,7 @@
 mod leaf_rate_limits;
 mod odd_entries;
 mod places;
+mod planned_stops;
 mod room;
 mod serving;
 mod slow_readers;
--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -22,6 +22,7 @@
 use crate::leaf_protocol::LeafReply;
 use crate::plan::CallLoss;
 use crate::search_codec::SearchCodec;
+use crate::shutdown::Work;
 use crate::tier::EntryState;
 use crate::tier::Tier;
 use crate::waiting_calls::Rank;
@@ -112,6 +113,13 @@
 }
 
 impl<P> CallContext<P> {
+    /// Returns what is expected of a call, by which a process that shuts down decides whether it
+    /// still begins it.
+    pub fn work(&self) -> Work {
+        let slow_time = self.latency.lock().unwrap().slow_threshold();
+        Work { deadline: self.deadline, is_idempotent: self.is_idempotent, slow_time }
+    }
+
     /// Returns the rank of the calls in the admission queues.
     pub fn rank(&self) -> Rank {
         Rank { class: self.class, standing: self.standing }
@@ -150,6 +158,8 @@
     /// Longest idle time of a connection that may carry the calls. It is short for calls that must
     /// not be repeated, as the leaf may be closing a connection that was idle for longer.
     pub max_idle: Duration,
+    /// Whether the calls may run more than once.
+    pub is_idempotent: bool,
     /// The account to charge; absent for a call made for another host, which charges it itself.
     pub charge: Option<ChargeTo>,
     /// Processing times of all leaf calls to the index, to which those of these calls are added.
--- a/lib/src/coordinator.rs
+++ b/lib/src/coordinator.rs
@@ -290,6 +290,7 @@
             crash_detector_fingerprint: None,
             answered: AtomicBool::new(false),
             max_idle: ANY_IDLE_TIME,
+            is_idempotent: self.entry.idempotent,
             charge: Some(ChargeTo {
                 entry: self.entry.clone(),
                 entry_state: self.permit.state.clone(),
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -100,13 +100,16 @@
     }
 
     /// Waits for the next call event or timer and acts on it. When `disconnected` completes,
-    /// cancels the calls in progress and returns [`Step::CallerGone`].
+    /// cancels the calls in progress and returns [`Step::CallerGone`]. Ends the query early at the
+    /// end of the process, and before that if none of its calls may begin any more.
     pub async fn step<F: Future<Output = ()>>(&mut self, disconnected: Pin<&mut F>) -> Step {
         if self.query.is_over() {
             return Step::Over;
         }
         let mut actions = Actions::default();
         let next_tick_at = self.query.next_tick_at(Instant::now());
+        let cx = self.cx.clone();
+        let is_waiting = !self.policy.has_written();
         tokio::select! {
             biased;
             Some(event) = self.events.recv() => {
@@ -123,6 +126,13 @@
                 self.cancel_all();
                 return Step::CallerGone;
             }
+            () = cx.tier.shutdown.ended() => self.query.end_early(&mut actions),
+            () = cx.tier.shutdown.last_begin(|| cx.work()), if is_waiting => {
+                // A call may have been written during this step.
+                if !self.policy.has_written() {
+                    self.query.end_early(&mut actions);
+                }
+            }
         }
         self.execute(&mut actions);
         if self.query.is_over() { Step::Over } else { Step::Open }
@@ -284,6 +294,11 @@
         self.controls.get(index as usize)
     }
 
+    /// Returns whether a byte of any call may have been written.
+    fn has_written(&self) -> bool {
+        self.controls.iter().any(|control| control.written_at().is_some())
+    }
+
     /// Logs the first hedge or retry of a request that the budget denies. Later ones are not
     /// logged, as a denied hedge is tried again for as long as its call is slow.
     fn log_first_denial(&mut self, purpose: Purpose, leaf: LeafKey) {
--- a/lib/src/edge.rs
+++ b/lib/src/edge.rs
@@ -44,6 +44,7 @@
 use crate::log_event;
 use crate::opaque::LocalAnswer;
 use crate::opaque::OpaqueAnswer;
+use crate::opaque_answer::shutdown_refusal;
 use crate::opaque_answer::with_jitter;
 use crate::opaque_catalogue::CallerLimits;
 use crate::opaque_coordinator::OpaqueCoordinator;
@@ -101,9 +102,12 @@
         self.coordinator.set_room_forwarder(forwarder);
     }
 
-    /// Closes each connection after its next answer from now on.
-    pub fn start_leaving(&self) {
+    /// Closes each connection after its next answer from now on. Requests in progress are answered
+    /// at `ends_at` with what their leafs have answered by then, and those that cannot end before it
+    /// are refused.
+    pub fn start_leaving(&self, ends_at: Instant) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.coordinator.tier.shutdown.start(ends_at);
     }
 
     /// Closes connections that are idle, and from now on each other one shortly after it becomes
@@ -112,11 +116,6 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
-    /// Answers all requests in progress with what their leafs have answered so far.
-    pub fn end_requests_early(&self) {
-        self.coordinator.end_queries_early();
-    }
-
     /// Returns whether [`Edge::start_leaving`] was called.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -286,8 +285,13 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(too_large());
         }
-        let collected = collect_body(body, limit, reservation);
-        match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        let collected = tokio::time::timeout(BODY_TIMEOUT, collect_body(body, limit, reservation));
+        let collected = tokio::select! {
+            biased;
+            collected = collected => collected,
+            () = self.coordinator.tier.shutdown.ended() => return Err(shutdown_refusal()),
+        };
+        match collected {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(BodyError::TooLarge)) => Err(too_large()),
             Ok(Err(BodyError::NoMemory)) => Err(memory_refusal()),
--- a/lib/src/edge_daemon.rs
+++ b/lib/src/edge_daemon.rs
@@ -275,19 +275,18 @@
 
     /// Shuts down gracefully: keeps idle connections open until the load balancer can have detected
     /// the shutdown, then closes them and waits until all connections are closed, which lets
-    /// requests in progress finish. Requests that take longer are answered with what there is.
+    /// requests in progress finish. Requests that take longer are answered with what there is, and
+    /// those that cannot finish are refused when they arrive.
     /// Returns after at most `EdgeSettings::grace`, less a margin for exiting.
     pub async fn shut_down(self) {
         let started = Instant::now();
-        self.edge.start_leaving();
+        let deadline = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
+        self.edge.start_leaving(deadline);
         self.cluster_state.fleet.lock().unwrap().mark_leaving();
         let (connections, in_progress) = (self.edge.connections(), self.edge.in_progress());
         log_event!(info, Event::Leaving, connections, in_progress);
-        let deadline = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
         tokio::time::sleep_until((started + BALANCER_DETECTION_TIME).min(deadline).into()).await;
         self.edge.close_idle_connections();
-        self.wait_for_connections(deadline).await;
-        self.edge.end_requests_early();
         self.wait_for_connections(deadline + FINAL_ANSWER_TIME).await;
         let (connections, in_progress) = (self.edge.connections(), self.edge.in_progress());
         let took_ms = started.elapsed().as_millis() as u64;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -149,6 +149,7 @@
 pub mod shares;
 pub mod call_report_link;
 pub mod call_reports;
+pub mod shutdown;
 pub mod signature;
 pub mod sliding_count;
 pub mod socket;
--- a/lib/src/opaque_answer.rs
+++ b/lib/src/opaque_answer.rs
@@ -24,6 +24,11 @@
     LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "No leaf can be reached")
 }
 
+/// Returns the refusal of a request that cannot end before the process does.
+pub(crate) fn shutdown_refusal() -> LocalAnswer {
+    LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "The process is shutting down")
+}
+
 /// Returns the HTTP status of an answer.
 pub(crate) fn answer_status(answer: &OpaqueAnswer) -> StatusCode {
     match answer {
@@ -88,9 +93,7 @@
         Reason::DeadlineExceeded => {
             LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "No leaf could be reached in time")
         }
-        Reason::NotReady => {
-            LocalAnswer::refused(with_jitter(OTHER_HOST_RETRY), "The process is shutting down")
-        }
+        Reason::NotReady => shutdown_refusal(),
         _ => LocalAnswer::refused(with_jitter(LOST_LEAFS_RETRY), "Too few leafs can be reached"),
     }
 }
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -12,9 +12,9 @@
 
 use hyper::StatusCode;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 
 use crate::answer::OutcomeKind;
+use crate::answer::Reason;
 use crate::call_context::CallContext;
 use crate::call_context::max_idle;
 use crate::caller_shares::CountedCaller;
@@ -37,6 +37,7 @@
 use crate::opaque::OpaqueRequest;
 use crate::opaque_answer::answer_status;
 use crate::opaque_answer::build_answer;
+use crate::opaque_answer::shutdown_refusal;
 use crate::opaque_answer::unanswered_response;
 use crate::opaque_answer::unreachable_refusal;
 use crate::opaque_answer::with_jitter;
@@ -52,11 +53,12 @@
 use crate::query_outcome::Outcome;
 use crate::request_forwarder::RequestForwarder;
 use crate::retry_after;
-use crate::room_choice::Work;
+use crate::room_choice;
 use crate::room_forwarding::RoomForwarder;
 use crate::room_forwarding::RoomOutcome;
 use crate::shared_budget::QueryBudget;
 use crate::shared_budget::SharedFleetBudget;
+use crate::shutdown::Work;
 use crate::tier::Tier;
 use crate::weighted_round_robin::WeightedRoundRobin;
 
@@ -74,8 +76,6 @@
     budget: Arc<SharedFleetBudget>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) pickers: Mutex<HashMap<EntryName, EntryPicker>>,
-    /// Whether queries end before their outcome is decided, as the process is about to exit.
-    ends_early: watch::Sender<bool>,
     /// Passes requests on to other hosts; if it is not set, none is passed on.
     pub(crate) forwarder: OnceLock<Box<dyn RequestForwarder>>,
     /// Passes requests on to faster hosts of the zone; if it is not set, none is passed on.
@@ -161,7 +161,6 @@
             budget,
             metrics,
             pickers: Mutex::default(),
-            ends_early: watch::Sender::new(false),
             forwarder: OnceLock::new(),
             room_forwarder: OnceLock::new(),
             no_forwarding_until: Mutex::default(),
@@ -178,12 +177,6 @@
         let _ = self.room_forwarder.set(forwarder);
     }
 
-    /// Ends all queries, and from now on each new one, with what was merged so far. Their callers
-    /// are answered as if the deadline had passed.
-    pub fn end_queries_early(&self) {
-        self.ends_early.send_replace(true);
-    }
-
     /// Answers one request of the caller at `addr`, which arrived at `arrived_at`. Waits a short
     /// time for the first configuration if there is none yet. Dropping the returned future cancels
     /// the calls in progress.
@@ -306,6 +299,9 @@
         let timeout = req.caller_timeout;
         let deadline =
             now + timeout.map_or(entry.entry.deadline, |timeout| timeout.min(entry.entry.deadline));
+        if self.tier.shutdown.is_started() && !self.may_begin(&entry.entry, deadline, now) {
+            return Err(shutdown_refusal());
+        }
         let decision = self.tier.quarantine.lock().unwrap().decide(fingerprint, now);
         let suspicion = match decision {
             Decision::Run => Suspicion::Clear,
@@ -323,13 +319,22 @@
         Ok(Admitted { entry: entry.clone(), snapshot, deadline, suspicion })
     }
 
+    /// Returns whether a request may begin although the process shuts down.
+    fn may_begin(&self, entry: &Entry, deadline: Instant, now: Instant) -> bool {
+        let latency = self.tier.latency_tracker(&entry.index, now);
+        let slow_time = latency.lock().unwrap().slow_threshold();
+        let work = Work { deadline, is_idempotent: entry.idempotent, slow_time };
+        self.tier.shutdown.admits(&work, now)
+    }
+
     /// Runs a request on leafs that this host calls. Ends it early if this host is found to be cut
     /// off and the request may run again.
     /// `spent_attempts` calls to each shard were made already.
     async fn run_here(&self, run: &Run, spent_attempts: u32) -> Ended {
         let Admitted { entry: opaque_entry, snapshot, deadline, suspicion } = &run.admitted;
         let entry = entry_for(opaque_entry, run.source, spent_attempts);
-        let _open_calls = self.tier.open_calls.begin(Work::of_entry(opaque_entry).calls);
+        let _open_calls =
+            self.tier.open_calls.begin(room_choice::Work::of_entry(opaque_entry).calls);
         let plan = QueryPlan {
             id: self.tier.next_query_id(),
             entry: entry.clone(),
@@ -344,18 +349,12 @@
         let mut driver = self.new_driver(run, &entry, plan);
         // This future never completes: a caller that disconnects drops the future of `answer`.
         let mut disconnected = std::pin::pin!(std::future::pending::<()>());
-        let mut ends_early = self.ends_early.subscribe();
         let mut cut_off = self.tier.cut_off.subscribe();
         driver.start();
         loop {
-            // The senders are part of this coordinator and of the tier, so that the waits cannot
-            // fail.
+            // The sender is part of the tier, so that the wait cannot fail.
             tokio::select! {
                 step = driver.step(disconnected.as_mut()) => if step != Step::Open { break },
-                _ = ends_early.wait_for(|ends_early| *ends_early) => {
-                    driver.end_early();
-                    break;
-                }
                 _ = cut_off.wait_for(|cut_off| *cut_off), if entry.idempotent => {
                     driver.end_early();
                     break;
@@ -388,6 +387,7 @@
             crash_detector_fingerprint: Some(*fingerprint),
             answered: AtomicBool::new(false),
             max_idle: max_idle(entry.idempotent),
+            is_idempotent: entry.idempotent,
             charge: None,
             latency,
             deadline: plan.deadline,
@@ -398,7 +398,10 @@
     }
 
     /// Builds the answer, counts it and logs it.
-    fn finish_answer(&self, run: &Run, outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
+    fn finish_answer(&self, run: &Run, mut outcome: Outcome<LeafResponse>) -> OpaqueAnswer {
+        if outcome.kind == OutcomeKind::NotRun && self.tier.shutdown.is_started() {
+            outcome.reason = Reason::NotReady;
+        }
         let Run { req, view, arrived_at, .. } = run;
         let opaque_entry = &*run.admitted.entry;
         let elapsed = arrived_at.elapsed();
--- a/lib/src/opaque_forwarding.rs
+++ b/lib/src/opaque_forwarding.rs
@@ -75,7 +75,11 @@
             homes: &run.admitted.entry.homes,
             attempts: (entry.attempts as u32).saturating_sub(unreached.spent_attempts),
         };
-        let outcome = forwarder.forward(forwarding).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = forwarder.forward(forwarding) => outcome,
+            () = self.tier.shutdown.ended() => ForwardOutcome::AnswerLost,
+        };
         let is_served = match &outcome {
             ForwardOutcome::Answered(answer) => answer_status(answer).is_success(),
             ForwardOutcome::NotTaken | ForwardOutcome::AnswerLost => false,
--- a/lib/src/opaque_room.rs
+++ b/lib/src/opaque_room.rs
@@ -40,7 +40,11 @@
         };
         let work = Work::of_entry(&run.admitted.entry);
         let sent_at = Instant::now();
-        let outcome = forwarder.forward_for_room(forwarding, work, catalogue.version).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = forwarder.forward_for_room(forwarding, work, catalogue.version) => outcome,
+            () = self.tier.shutdown.ended() => RoomOutcome::AnswerLost,
+        };
         if let RoomOutcome::Answered(answer) = &outcome {
             self.record_passed_on(run, answer, sent_at);
         }
--- a/lib/src/relay_service.rs
+++ b/lib/src/relay_service.rs
@@ -153,6 +153,7 @@
         let params = RawValue::from_string(query.params.clone()).ok()?;
         Some(Arc::new(CallContext {
             tier: self.tier.clone(),
+            is_idempotent: spec.idempotent,
             codec: Arc::new(SearchCodec { spec, params }),
             class: query.class,
             standing: Standing::Within,
--- a/lib/src/tier.rs
+++ b/lib/src/tier.rs
@@ -64,6 +64,7 @@
 use crate::rate_limit::HostRank;
 use crate::relay::Router;
 use crate::relay_link::RelayLinks;
+use crate::shutdown::Shutdown;
 use crate::suspect_report::SuspectReport;
 use crate::zone_rtt::ZoneRtts;
 
@@ -157,6 +158,8 @@
     pub pace: Mutex<HostPace>,
     /// Whether this host is cut off from the leafs, as `reach` found.
     pub cut_off: watch::Sender<bool>,
+    /// The end of this process.
+    pub shutdown: Shutdown,
     /// Notified when the crash detector has recorded an unanswered call.
     pub call_unanswered: Notify,
     /// Reports of this host's leaf calls that are not yet sent to the zone's other hosts. Set only
@@ -195,6 +198,7 @@
             caller_shares: Mutex::default(),
             pace: Mutex::default(),
             cut_off: watch::Sender::new(false),
+            shutdown: Shutdown::default(),
             call_unanswered: Notify::new(),
             suspects_changed: Notify::new(),
             call_reports: OnceLock::new(),
