running: a query that outlasts a graceful shutdown is answered

A caller of the own interface whose query took longer than the shutdown setting lost its connection without an answer.

Cause: after that time the threads were stopped, whatever was in progress; only the users' side ended queries early.

Evidence: query_that_outlasts_a_graceful_shutdown_is_answered failed before (IncompleteMessage). The driver of both interfaces now ends a query at the end of the process, and the own interface names that end too. The bed of the tests can set the time of a shutdown.

--- a/bench/src/bed.rs
+++ b/bench/src/bed.rs
@@ -39,6 +39,8 @@
 const PORT_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Key that all daemons and stand-in peers of a bed sign peer messages with.
 pub const BED_KEY: &str = "a-key-for-tests-only";
+/// Longest time of a graceful shutdown, the default of `jasmineusherd`.
+pub const DEFAULT_SHUTDOWN: Duration = Duration::from_secs(30);
 /// Timeout of one query.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time after which a daemon that is not ready fails the test.
@@ -64,6 +66,8 @@
     pub platform: SocketAddr,
     /// Addresses of the peers that the daemon contacts at its start; may be empty.
     pub seeds: Vec<SocketAddr>,
+    /// Longest time that a graceful shutdown waits for requests in progress.
+    pub shutdown: Duration,
 }
 
 /// Running daemon process, which is killed when this is dropped.
@@ -81,13 +85,14 @@
     /// Starts the program `exe` with 2 worker threads. It logs warnings and errors to the standard
     /// error of this process. Returns before the daemon listens; panics if it cannot be started.
     pub fn start(exe: &Path, config: &DaemonConfig) -> Self {
-        let DaemonConfig { host, zone, listen, addr, platform, seeds } = config.clone();
+        let DaemonConfig { host, zone, listen, addr, platform, seeds, shutdown } = config.clone();
         let seeds: Vec<_> = seeds.iter().map(SocketAddr::to_string).collect();
         let child = Command::new(exe)
             .args(["--listen", &listen.to_string(), "--advertise", &addr.to_string()])
             .args(["--host", &host, "--zone", &zone, "--seeds", &seeds.join(",")])
             .args(["--platform", &platform.to_string(), "--workers", "2"])
             .args(["--peer-keys", BED_KEY, "--log-level", "warn"])
+            .args(["--shutdown-ms", &shutdown.as_millis().to_string()])
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
@@ -212,6 +217,7 @@
                 addr: addr.expect("the proxy starts"),
                 platform,
                 seeds: daemon_configs.iter().map(|config: &DaemonConfig| config.addr).collect(),
+                shutdown: DEFAULT_SHUTDOWN,
             };
             let daemon = DaemonProcess::start(exe, &config);
             fleet.list_daemon(daemon.host_entry());
--- a/bench/src/exp_control.rs
+++ b/bench/src/exp_control.rs
@@ -25,6 +25,7 @@
 use jasmineusher_lib::server::STATE_PATH;
 use serde_json::Value;
 
+use crate::bed::DEFAULT_SHUTDOWN;
 use crate::bed::DaemonConfig;
 use crate::bed::DaemonProcess;
 use crate::bed::free_addr;
@@ -174,6 +175,7 @@
             addr,
             platform: platform.addr,
             seeds: Vec::new(),
+            shutdown: DEFAULT_SHUTDOWN,
         };
         let daemon = DaemonProcess::start(&bench_env.daemon, &config);
         let bed = Self { size, platform, peers, daemon, own, client: HttpClient::default() };
--- a/cli/tests/test_query_path.rs
+++ b/cli/tests/test_query_path.rs
@@ -327,6 +327,32 @@
     assert_eq!(bed.daemons[0].wait(), Some(0));
 }
 
+/// Guards against a query that is cut without an answer, since its leafs take longer than the daemon's
+/// shutdown may.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_that_outlasts_a_graceful_shutdown_is_answered() {
+    let mut bed = TestBed::start(DAEMON, small_fleet(), 1).await;
+    bed.daemon_configs[0].shutdown = Duration::from_millis(700);
+    bed.restart(0);
+    bed.wait_ready(0).await;
+    for leaf in &bed.fleet.leafs {
+        leaf.change_behaviour(|behaviour| behaviour.service = Duration::from_secs(60));
+    }
+    let query = bed.try_query(0, lookup());
+    let stop = async {
+        eventually("the query runs", async || {
+            let calls = bed.state(0).await["counters"]["first_calls"].as_u64();
+            (calls > Some(0)).then_some(())
+        })
+        .await;
+        bed.daemons[0].signal("TERM");
+    };
+    let (result, ()) = tokio::join!(query, stop);
+    let (_, answer) = result.expect("the connection was not lost");
+    assert_eq!(answer.outcome, OutcomeKind::Unknown);
+    assert_eq!(bed.daemons[0].wait(), Some(0));
+}
+
 /// If the valid part of an invalid catalogue were applied, entries could disappear or change by a
 /// typo.
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/running.rs
+++ b/lib/src/running.rs
@@ -23,6 +23,8 @@
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Longest time after [`REFUSAL_TIME`] that callers have to close their connections.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which the requests that are still in progress at the end are answered.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Interval at which a leaving daemon checks whether its requests have finished.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -108,14 +110,15 @@
     }
 
     /// Shuts down gracefully: refuses new queries, waits up to the `shutdown` setting for the
-    /// queries and relayed calls in progress, gives callers time to detect the refusals and to
+    /// queries and relayed calls in progress, answers those that take longer with what there is, gives callers time to detect the refusals and to
     /// close their connections, then stops the threads. Blocks until then.
     pub fn stop(&mut self) {
         self.daemon.lifecycle.start_leaving();
         self.daemon.announce_leaving();
         Event::Leaving.info(&format!("Host {} shuts down", self.daemon.settings.host));
         let deadline = Instant::now() + self.daemon.settings.shutdown;
-        wait_while(deadline, || {
+        self.daemon.tier.shutdown.start(deadline);
+        wait_while(deadline + FINAL_ANSWER_TIME, || {
             self.daemon.lifecycle.in_progress() > 0 || !self.daemon.relayed.is_empty()
         });
         std::thread::sleep(REFUSAL_TIME);
