soak: late refusals, cut heads, and any number of daemons

The soak's leafs now also refuse a request and send a copy of the refusal later, and stop within the head of a response. SOAK_DAEMONS sets the number of daemons. The first of these behaviours is left out when an earlier build takes part, which takes such a copy for a statement about another request.

--- a/cli/tests/test_edge/soak.rs
+++ b/cli/tests/test_edge/soak.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -29,14 +30,20 @@
 use crate::edge_bed::CRASHING_PATH;
 use crate::edge_bed::Caller;
 use crate::edge_bed::EdgeBed;
+use crate::edge_bed::Ending;
+use crate::edge_bed::Framing;
 use crate::edge_bed::Leaf;
 use crate::edge_bed::OTHER_BUILD;
 use crate::edge_bed::configuration;
 use crate::edge_bed::runs;
 use crate::edge_bed::store::StoreFault;
 
+/// Behaviour that breaks guarantees of builds before e6c3826.
+const LATE_REFUSAL: Behaviour = Behaviour::LateRefusal { names_request: true };
+
 const SHARDS: usize = 3;
 const REPLICAS: usize = 3;
+/// Number of daemons unless `SOAK_DAEMONS` is set.
 const DAEMONS: usize = 3;
 /// Seeds of a run in CI. If another seed fails, it is included here, with a line on the cause.
 const CI_SEEDS: Range<u64> = 1..4;
@@ -47,7 +54,7 @@
 /// Time between two attempts of the crashing request.
 const CRASHING_INTERVAL: Duration = Duration::from_millis(600);
 
-const BEHAVIOURS: [Behaviour; 9] = [
+const BEHAVIOURS: [Behaviour; 10] = [
     Behaviour::Normal,
     Behaviour::Normal,
     Behaviour::Slow(120),
@@ -57,6 +64,7 @@
     Behaviour::Failure,
     Behaviour::ExtraResponse,
     Behaviour::Truncated,
+    Behaviour::Cut { bytes: 60, framing: Framing::Length, ending: Ending::Close },
 ];
 
 /// Rate limits that leafs name, of which one cannot be read.
@@ -226,7 +234,7 @@
         if started.elapsed() > CONTACT_TIME {
             late_ids.push(id);
         }
-        if late_ids.len() == 4 * DAEMONS {
+        if late_ids.len() == 4 * bed.daemons.len() {
             break;
         }
         tokio::time::sleep(CRASHING_INTERVAL / 4).await;
@@ -244,6 +252,12 @@
     Mixed,
 }
 
+fn draw_behaviour(builds: Builds, rng: &mut StdRng) -> Behaviour {
+    let late_refusal = (builds == Builds::Own).then_some(LATE_REFUSAL);
+    let all: Vec<_> = BEHAVIOURS.into_iter().chain(late_refusal).collect();
+    *all.choose(rng).expect("there are behaviours")
+}
+
 impl Builds {
     /// Returns [`Builds::Mixed`] if another build is named in the environment.
     fn from_env() -> Self {
@@ -267,11 +281,11 @@
     rng: &mut StdRng,
     version: &mut u64,
 ) -> String {
-    let daemon = rng.random_range(1..DAEMONS);
+    let daemon = rng.random_range(1..bed.daemons.len());
     match rng.random_range(0..18) {
         0..3 => {
             let leaf = bed.leafs.choose(rng).expect("there are leafs");
-            let behaviour = *BEHAVIOURS.choose(rng).expect("there are behaviours");
+            let behaviour = draw_behaviour(builds, rng);
             leaf.set_behaviour(behaviour);
             format!("leaf {} behaves as {behaviour:?}", leaf.instance)
         }
@@ -377,7 +391,8 @@
 async fn soak(seed: u64, steps: u64) {
     let builds = Builds::from_env();
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut bed = EdgeBed::start(SHARDS, REPLICAS, DAEMONS).await;
+    let daemons = number_from_env("SOAK_DAEMONS").unwrap_or(DAEMONS);
+    let mut bed = EdgeBed::start(SHARDS, REPLICAS, daemons).await;
     for daemon in &mut bed.daemons[1..] {
         match builds.draw(&mut rng) {
             Build::Own => {}
@@ -385,11 +400,11 @@
         }
     }
     let tally = Arc::new(Tally::default());
-    let losses: Vec<_> = (0..DAEMONS).map(|_| Arc::new(ConnectionLoss::default())).collect();
-    let callers: Vec<_> = (0..CALLERS)
+    let losses: Vec<_> = (0..daemons).map(|_| Arc::new(ConnectionLoss::default())).collect();
+    let callers: Vec<_> = (0..CALLERS.max(daemons))
         .map(|n| {
-            let addr = bed.daemons[n % DAEMONS].callers;
-            let (losses, seed) = (losses[n % DAEMONS].clone(), seed * 1_000 + n as u64);
+            let addr = bed.daemons[n % daemons].callers;
+            let (losses, seed) = (losses[n % daemons].clone(), seed * 1_000 + n as u64);
             tokio::spawn(run_caller(addr, bed.leafs.clone(), tally.clone(), losses, seed))
         })
         .collect();
@@ -446,8 +461,11 @@
         .as_deref()
         .and_then(|text| text.split_once('-'))
         .and_then(|(from, to)| Some(from.parse::<u64>().ok()?..to.parse::<u64>().ok()? + 1));
-    let steps = std::env::var("SOAK_STEPS").ok().and_then(|text| text.parse().ok());
-    (range.unwrap_or(CI_SEEDS), steps.unwrap_or(CI_STEPS))
+    (range.unwrap_or(CI_SEEDS), number_from_env("SOAK_STEPS").unwrap_or(CI_STEPS))
+}
+
+fn number_from_env<T: FromStr>(variable: &str) -> Option<T> {
+    std::env::var(variable).ok()?.parse().ok()
 }
 
 /// Under any mix of faults of leafs, daemons, store and network, an unsafe request must run at most
