read_schedule, shutdown: names that a newcomer can tell apart

What a host knows is fresh or not, as in the message to other hosts, instead of whether the host may speak for the platform; what is expected of work at the end of a process has another name than the work of room_choice. A long comment is wrapped.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -219,8 +219,8 @@
     }
 
     /// Sends the call on a connection unless its deadline has passed, the process ends too soon for
-    /// it, or the leaf takes no calls any more. All are checked right before the write, since the process may have been paused until
-    /// then.
+    /// it, or the leaf takes no calls any more. All are checked right before the write, since the
+    /// process may have been paused until then.
     async fn call_on_connection(&self, conn: Box<dyn LeafConnection>) -> (CallResult<P>, CallEnd) {
         let now = Instant::now();
         if now >= self.cx.deadline {
@@ -228,7 +228,7 @@
             return (CallResult::Lost(CallLoss::NoSlot, Effort::None), CallEnd::Other);
         }
         let shutdown = &self.cx.tier.shutdown;
-        let may_begin = !shutdown.is_started() || shutdown.admits(&self.cx.work(), now);
+        let may_begin = !shutdown.is_started() || shutdown.admits(&self.cx.expected_work(), now);
         if !may_begin || !self.leaf.takes_calls(now) || !self.leaf.state().cold.take_write(now) {
             self.leaf.pool.put_back(conn, now);
             return (CallResult::Lost(CallLoss::NotSent, Effort::None), CallEnd::Other);
--- a/lib/src/call_context.rs
+++ b/lib/src/call_context.rs
@@ -22,7 +22,7 @@
 use crate::leaf_protocol::LeafReply;
 use crate::plan::CallLoss;
 use crate::search_codec::SearchCodec;
-use crate::shutdown::Work;
+use crate::shutdown::ExpectedWork;
 use crate::tier::EntryState;
 use crate::tier::Tier;
 use crate::waiting_calls::Rank;
@@ -115,9 +115,9 @@
 impl<P> CallContext<P> {
     /// Returns what is expected of a call, by which a process that shuts down decides whether it
     /// still begins it.
-    pub fn work(&self) -> Work {
+    pub fn expected_work(&self) -> ExpectedWork {
         let slow_time = self.latency.lock().unwrap().slow_threshold();
-        Work { deadline: self.deadline, is_idempotent: self.is_idempotent, slow_time }
+        ExpectedWork { deadline: self.deadline, is_idempotent: self.is_idempotent, slow_time }
     }
 
     /// Returns the rank of the calls in the admission queues.
--- a/lib/src/driver.rs
+++ b/lib/src/driver.rs
@@ -127,7 +127,7 @@
                 return Step::CallerGone;
             }
             () = cx.tier.shutdown.ended() => self.query.end_early(&mut actions),
-            () = cx.tier.shutdown.last_begin(|| cx.work()), if is_waiting => {
+            () = cx.tier.shutdown.last_begin(|| cx.expected_work()), if is_waiting => {
                 // A call may have been written during this step.
                 if !self.policy.has_written() {
                     self.query.end_early(&mut actions);
--- a/lib/src/fleet_link.rs
+++ b/lib/src/fleet_link.rs
@@ -218,8 +218,7 @@
     }
 
     /// Long-polls a host that reads the platform for others, records up to when that host knows
-    /// everything, and applies the changes that it returns. Returns whether it speaks for the
-    /// platform.
+    /// everything, and applies the changes that it returns. Returns whether it is fresh.
     pub async fn poll_reader(&self, reader: SocketAddr, times: PollTimes) -> Result<bool> {
         self.fetch_changes(reader, times).await
     }
@@ -251,9 +250,9 @@
             false => ChangeSource::EarlierPeer { configuration_era },
         };
         let confirmed = read_number::<i64>(&reply_headers, &CONFIRMED_HEADER);
-        let speaks = reply.is_fresh && era >= after.era && has_evacuations;
+        let is_fresh = reply.is_fresh && era >= after.era && has_evacuations;
         // The request arrived after it was sent, so that the peer was confirmed at least up to this.
-        let confirmed_at = confirmed.filter(|_| speaks).and_then(|ms| shifted(sent_at, ms));
+        let confirmed_at = confirmed.filter(|_| is_fresh).and_then(|ms| shifted(sent_at, ms));
         if let Some(at) = confirmed_at {
             self.cluster_state.record_confirmation(at);
         }
@@ -343,8 +342,8 @@
     }
 
     /// Waits until this host has changes after the position of a requester that was confirmed
-    /// `theirs` before `arrived_at`, or can confirm it anew, or may no longer speak for the
-    /// platform; at most for `wait`.
+    /// `theirs` before `arrived_at`, or can confirm it anew, or is no longer fresh itself; at most
+    /// for `wait`.
     async fn hold_poll(
         &self,
         after: Position,
@@ -358,7 +357,7 @@
             self.schedule.ends_poll(self.cluster_state.confirmation_age(), theirs)
         };
         let age = self.cluster_state.confirmation_age();
-        let limit = wait.min(MAX_POLL_WAIT).min(self.schedule.may_speak_for(age));
+        let limit = wait.min(MAX_POLL_WAIT).min(self.schedule.fresh_for(age));
         self.cluster_state.wait_past(after, is_over, limit).await;
     }
 
@@ -379,7 +378,7 @@
         let arrived_at = self.cluster_state.clock.now();
         let theirs = read_number::<u64>(headers, &CONFIRMED_HEADER).map(Duration::from_millis);
         self.hold_poll(after, theirs, arrived_at, wait).await;
-        let is_fresh = self.schedule.may_speak(self.cluster_state.confirmation_age())
+        let is_fresh = self.schedule.is_fresh(self.cluster_state.confirmation_age())
             && !self.cannot_read_platform();
         let confirmed_at = self.cluster_state.outage.lock().unwrap().confirmed_at();
         let subscription = self.cluster_state.subscription.lock().unwrap();
--- a/lib/src/opaque_coordinator.rs
+++ b/lib/src/opaque_coordinator.rs
@@ -53,12 +53,12 @@
 use crate::query_outcome::Outcome;
 use crate::request_forwarder::RequestForwarder;
 use crate::retry_after;
-use crate::room_choice;
+use crate::room_choice::Work;
 use crate::room_forwarding::RoomForwarder;
 use crate::room_forwarding::RoomOutcome;
 use crate::shared_budget::QueryBudget;
 use crate::shared_budget::SharedFleetBudget;
-use crate::shutdown::Work;
+use crate::shutdown::ExpectedWork;
 use crate::tier::Tier;
 use crate::weighted_round_robin::WeightedRoundRobin;
 
@@ -323,7 +323,7 @@
     fn may_begin(&self, entry: &Entry, deadline: Instant, now: Instant) -> bool {
         let latency = self.tier.latency_tracker(&entry.index, now);
         let slow_time = latency.lock().unwrap().slow_threshold();
-        let work = Work { deadline, is_idempotent: entry.idempotent, slow_time };
+        let work = ExpectedWork { deadline, is_idempotent: entry.idempotent, slow_time };
         self.tier.shutdown.admits(&work, now)
     }
 
@@ -333,8 +333,7 @@
     async fn run_here(&self, run: &Run, spent_attempts: u32) -> Ended {
         let Admitted { entry: opaque_entry, snapshot, deadline, suspicion } = &run.admitted;
         let entry = entry_for(opaque_entry, run.source, spent_attempts);
-        let _open_calls =
-            self.tier.open_calls.begin(room_choice::Work::of_entry(opaque_entry).calls);
+        let _open_calls = self.tier.open_calls.begin(Work::of_entry(opaque_entry).calls);
         let plan = QueryPlan {
             id: self.tier.next_query_id(),
             entry: entry.clone(),
--- a/lib/src/read_schedule.rs
+++ b/lib/src/read_schedule.rs
@@ -87,14 +87,14 @@
         age.map_or(Duration::ZERO, |age| self.watch_time().saturating_sub(age))
     }
 
-    /// Returns whether a host that was confirmed `age` ago may speak for the platform: its next
+    /// Returns whether what a host knows that was confirmed `age` ago counts as fresh: its next
     /// confirmation is not overdue.
-    pub fn may_speak(&self, age: Option<Duration>) -> bool {
-        !self.may_speak_for(age).is_zero()
+    pub fn is_fresh(&self, age: Option<Duration>) -> bool {
+        !self.fresh_for(age).is_zero()
     }
 
-    /// Returns for how long such a host may still speak for the platform.
-    pub fn may_speak_for(&self, age: Option<Duration>) -> Duration {
+    /// Returns for how long it still counts as fresh.
+    pub fn fresh_for(&self, age: Option<Duration>) -> Duration {
         age.map_or(Duration::ZERO, |age| (self.watch_time() + ANSWER_GRACE).saturating_sub(age))
     }
 
@@ -111,10 +111,10 @@
 
     /// Returns whether a reader that was confirmed `own` ago ends the poll of a host that was
     /// confirmed `theirs` ago, although it has no changes for it: it can confirm the host anew, or
-    /// it may not speak for the platform. `theirs` is absent if the host does not ask for that.
+    /// it is not fresh itself. `theirs` is absent if the host does not ask for that.
     pub fn ends_poll(&self, own: Option<Duration>, theirs: Option<Duration>) -> bool {
         let is_newer = |own: Duration| theirs.is_some_and(|theirs| own + NEWER_BY < theirs);
-        !self.may_speak(own) || own.is_some_and(is_newer)
+        !self.is_fresh(own) || own.is_some_and(is_newer)
     }
 }
 
--- a/lib/src/shutdown.rs
+++ b/lib/src/shutdown.rs
@@ -17,9 +17,9 @@
 /// expected to take all the time until its deadline.
 const UNMEASURED_TIME: Duration = Duration::from_millis(300);
 
-/// Work on a request, or a part of it.
+/// What is expected of the work on a request, or of a call that is part of it.
 #[derive(Clone, Copy, Debug)]
-pub struct Work {
+pub struct ExpectedWork {
     /// Time at which the work ends in any case.
     pub deadline: Instant,
     /// Whether the work may run more than once.
@@ -28,7 +28,7 @@
     pub slow_time: Option<Duration>,
 }
 
-impl Work {
+impl ExpectedWork {
     /// Returns the latest time at which the work may begin to end before a process that ends at
     /// `ends_at`. Returns nothing if it may not begin at all.
     pub fn begins_until(&self, ends_at: Instant) -> Option<Instant> {
@@ -62,7 +62,7 @@
     }
 
     /// Returns whether `work` may begin at `now`.
-    pub fn admits(&self, work: &Work, now: Instant) -> bool {
+    pub fn admits(&self, work: &ExpectedWork, now: Instant) -> bool {
         let Some(ends_at) = *self.ends_at.borrow() else { return true };
         work.begins_until(ends_at).is_some_and(|until| now <= until)
     }
@@ -75,7 +75,7 @@
 
     /// Completes when work may no longer begin. What is expected of it is asked for when the shutdown
     /// starts.
-    pub async fn last_begin(&self, work: impl FnOnce() -> Work) {
+    pub async fn last_begin(&self, work: impl FnOnce() -> ExpectedWork) {
         let ends_at = self.known_end().await;
         if let Some(until) = work().begins_until(ends_at) {
             tokio::time::sleep_until(until.into()).await;
--- a/lib/src/subscriber.rs
+++ b/lib/src/subscriber.rs
@@ -142,8 +142,8 @@
     }
 
     /// Polls a host of the zone that reads the platform for others, if there is one that has not
-    /// failed recently and time is left to follow it. Returns whether it answered and speaks for the
-    /// platform.
+    /// failed recently and time is left to follow it. Returns whether it answered and is
+    /// fresh.
     async fn poll_any_reader(&mut self) -> bool {
         let age = self.cluster_state.confirmation_age();
         let Some(times) = self.schedule.poll_times(age) else { return false };
@@ -162,7 +162,8 @@
         } else {
             self.avoided.insert(reader, now + AVOID_TIME);
             let cause = polled.err().map(|e| with_sources(&e));
-            let cause = cause.unwrap_or_else(|| "reader cannot read the platform".to_owned());
+            let cause =
+                cause.unwrap_or_else(|| "reader is not up to date with the platform".to_owned());
             log_event!(warn, Event::ReaderLost, reader = %reader, cause);
         }
         is_fresh
--- a/lib/tests/test_platform_followers.rs
+++ b/lib/tests/test_platform_followers.rs
@@ -24,7 +24,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 /// Sends a poll of a host that has everything and was confirmed `age_ms` ago. Returns whether the
-/// reader speaks for the platform, and how long after the arrival of the poll it was confirmed.
+/// reader is fresh, and how long after the arrival of the poll it was confirmed.
 async fn poll(reader: &FleetLink, age_ms: Option<u64>, wait: Duration) -> (bool, Option<i64>) {
     let body = rmp_serde::to_vec(&ChangesRequest { after: Revision(3), wait });
     let body = body.expect("the request is encoded");
@@ -51,7 +51,7 @@
 /// Guards against hosts that stay on an old configuration: they followed a reader which the platform
 /// did not answer, and which did not know that yet.
 #[tokio::test]
-async fn reader_whose_watch_is_overdue_does_not_speak_for_the_platform() {
+async fn reader_whose_watch_is_overdue_is_not_fresh() {
     let (reader, host) = link();
     let schedule = ReadSchedule::default();
     set_confirmed(&host, schedule.watch_time());
@@ -62,7 +62,7 @@
     assert!(!poll(&reader, Some(0), Duration::ZERO).await.0, "it was paused");
 }
 
-/// A poll that waits must not outlast the time for which its reader may speak.
+/// A poll that waits must not outlast the time for which its reader is fresh.
 #[tokio::test]
 async fn waiting_poll_ends_when_the_watch_of_its_reader_is_overdue() {
     let (reader, host) = link();
@@ -119,8 +119,8 @@
     set_confirmed(&following_host, 2_000 * MS);
     let addr = start_reader(reader, delays).await;
     let times = PollTimes { wait: Duration::ZERO, limit: Duration::from_secs(60) };
-    let speaks = follower.poll_reader(addr, times).await.expect("the reader answers");
-    (speaks, reading_host, following_host)
+    let is_fresh = follower.poll_reader(addr, times).await.expect("the reader answers");
+    (is_fresh, reading_host, following_host)
 }
 
 /// A host that follows must not take what its reader knew for newer than it was, however long the
@@ -128,8 +128,8 @@
 #[tokio::test]
 async fn host_is_never_confirmed_later_than_the_reader_that_it_follows() {
     for delays in [[0, 0], [300, 0], [0, 300], [300, 300]] {
-        let (speaks, reader, follower) = poll_over_network(delays.map(|ms| ms * MS)).await;
-        assert!(speaks);
+        let (is_fresh, reader, follower) = poll_over_network(delays.map(|ms| ms * MS)).await;
+        assert!(is_fresh);
         let (reader, follower) = (reader.confirmation_age(), follower.confirmation_age());
         assert!(follower >= reader, "{follower:?} {reader:?} with {delays:?}");
         assert!(follower < Some(2_000 * MS) || delays[0] > 0, "{follower:?} with {delays:?}");
--- a/lib/tests/test_read_schedule.rs
+++ b/lib/tests/test_read_schedule.rs
@@ -77,9 +77,9 @@
         let reader = usable[rng.random_range(0..usable.len())];
         polls += 1;
         let arrived_at = now + way;
-        let held = times.wait.min(schedule.may_speak_for(Some(arrived_at)));
+        let held = times.wait.min(schedule.fresh_for(Some(arrived_at)));
         let replied_at = arrived_at + held;
-        let speaks = schedule.may_speak(Some(replied_at));
+        let is_fresh = schedule.is_fresh(Some(replied_at));
         let received_at = match readers[reader] {
             Reader::Runs => Some(replied_at + way),
             Reader::Hangs => None,
@@ -88,7 +88,7 @@
         match received_at.filter(|at| *at <= now + times.limit) {
             Some(at) => {
                 now = at;
-                avoided[reader] = !speaks;
+                avoided[reader] = !is_fresh;
             }
             None => {
                 now += times.limit;
--- a/lib/tests/test_shutdown.rs
+++ b/lib/tests/test_shutdown.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jasmineusher_lib::shutdown::ExpectedWork;
 use jasmineusher_lib::shutdown::Shutdown;
-use jasmineusher_lib::shutdown::Work;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -13,7 +13,7 @@
 fn begins_for(deadline_ms: u32, is_idempotent: bool, slow_ms: Option<u32>) -> Option<u128> {
     let start = Instant::now();
     let slow_time = slow_ms.map(|ms| ms * MS);
-    let work = Work { deadline: start + deadline_ms * MS, is_idempotent, slow_time };
+    let work = ExpectedWork { deadline: start + deadline_ms * MS, is_idempotent, slow_time };
     let until = work.begins_until(start + 3_100 * MS)?;
     Some(until.saturating_duration_since(start).as_millis())
 }
@@ -34,7 +34,7 @@
 fn work_is_admitted_until_the_shutdown_starts_and_then_until_its_last_moment() {
     let start = Instant::now();
     let slow_time = Some(900 * MS);
-    let work = Work { deadline: start + 10_000 * MS, is_idempotent: false, slow_time };
+    let work = ExpectedWork { deadline: start + 10_000 * MS, is_idempotent: false, slow_time };
     let shutdown = Shutdown::default();
     assert!(shutdown.admits(&work, start + 9_999 * MS));
     assert!(!shutdown.is_started());
