--- a/lib/src/running.rs
+++ b/lib/src/running.rs
@@ -110,8 +110,9 @@
     }
 
     /// Shuts down gracefully: refuses new queries, waits up to the `shutdown` setting for the
-    /// queries and relayed calls in progress, answers those that take longer with what there is, gives callers time to detect the refusals and to
-    /// close their connections, then stops the threads. Blocks until then.
+    /// queries and relayed calls in progress, answers those that take longer with what there is,
+    /// gives callers time to detect the refusals and to close their connections, then stops the
+    /// threads. Blocks until then.
     pub fn stop(&mut self) {
         self.daemon.lifecycle.start_leaving();
         self.daemon.announce_leaving();
