Review: a leaf whose clock has jumped back is not drained (DRAIN)

Entries of a leaf are ordered by its own time of day. After a start with a lower time, its reports are ignored, and requests go on after it has reported draining.

--- a/review/bed-2/case_6.rs
+++ b/review/bed-2/case_6.rs
@@ -120,7 +120,7 @@
         record.line("front-muc-a-3 reaches the store again; the leafs of sendplan are back");
         store.set_cut(ips[2], false);
         for leaf in &new {
-            leaf.come_up().map_err(|e| format!("a leaf does not start again: {e}"))?;
+            leaf.come_up(0).map_err(|e| format!("a leaf does not start again: {e}"))?;
         }
     }
     for client in clients {
--- a/review/bed-2/leaf.rs
+++ b/review/bed-2/leaf.rs
@@ -28,6 +28,8 @@
     pub id: String,
     /// Name of the leaf's service.
     pub service: String,
+    /// Id of the leaf.
+    pub leaf: String,
     /// When it began, since the start of the run.
     pub at: Duration,
 }
@@ -51,7 +53,9 @@
     record: Record,
     runs: Runs,
     is_up: AtomicBool,
+    is_draining: AtomicBool,
     sequence: AtomicU64,
+    born_ms: AtomicU64,
     open: Mutex<Vec<TcpStream>>,
 }
 
@@ -84,11 +88,13 @@
                 record: record.clone(),
                 runs: runs.clone(),
                 is_up: AtomicBool::new(false),
+                is_draining: AtomicBool::new(false),
                 sequence: AtomicU64::new(0),
+                born_ms: AtomicU64::new(0),
                 open: Mutex::default(),
             }),
         };
-        leaf.come_up()?;
+        leaf.come_up(0)?;
         let beating = leaf.clone();
         std::thread::spawn(move || loop {
             std::thread::sleep(HEARTBEAT);
@@ -107,12 +113,14 @@
         }
     }
 
-    /// Starts again after a crash, under the same id.
-    pub fn come_up(&self) -> std::io::Result<()> {
+    /// Starts, or starts again after a crash under the same id. The time of day on its machine
+    /// differs from the true one by `clock_ms`.
+    pub fn come_up(&self, clock_ms: i64) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.inner.addr)?;
         self.inner.is_up.store(true, Ordering::SeqCst);
         self.inner.sequence.store(0, Ordering::SeqCst);
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let true_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        self.inner.born_ms.store(true_ms.saturating_add_signed(clock_ms), Ordering::SeqCst);
         let leaf = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
@@ -127,7 +135,6 @@
                 std::thread::spawn(move || drop(leaf.serve(stream)));
             }
         });
-        BORN.lock().unwrap().insert(self.inner.id.clone(), born);
         self.beat();
         Ok(())
     }
@@ -137,16 +144,24 @@
         self.inner.store.remove(&format!("servers/{}", self.inner.id));
     }
 
+    /// Reports that it is draining, and returns when the store has accepted that.
+    pub fn drain(&self) {
+        self.inner.is_draining.store(true, Ordering::SeqCst);
+        self.beat();
+    }
+
     fn beat(&self) {
-        let Inner { id, service, zone, addr, store, is_up, sequence, .. } = &*self.inner;
+        let Inner { id, service, zone, addr, store, is_up, is_draining, sequence, born_ms, .. } =
+            &*self.inner;
         if !is_up.load(Ordering::SeqCst) {
             return;
         }
         let sequence = sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let born = BORN.lock().unwrap().get(id).copied().unwrap_or_default();
+        let born = born_ms.load(Ordering::SeqCst);
+        let state = if is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"max_concurrency\":6,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
+             \"max_concurrency\":2,\"state\":\"{state}\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
         );
         store.put(&format!("servers/{id}"), &entry);
     }
@@ -175,7 +190,12 @@
             .into_bytes();
         }
         let at = record.now();
-        runs.lock().unwrap().push(Run { id: id.clone(), service: service.clone(), at });
+        runs.lock().unwrap().push(Run {
+            id: id.clone(),
+            service: service.clone(),
+            leaf: leaf.clone(),
+            at,
+        });
         record.line(&format!("leaf {leaf} of {service} runs {id}"));
         std::thread::sleep(*work);
         let body = format!("{leaf} has run {id}");
@@ -186,5 +206,3 @@
         .into_bytes()
     }
 }
-
-static BORN: Mutex<std::collections::BTreeMap<String, u64>> = Mutex::new(std::collections::BTreeMap::new());
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -13,6 +13,7 @@
 mod store;
 
 mod case_6;
+mod case_7;
 
 use std::process::ExitCode;
 
@@ -30,6 +31,7 @@
     record.line(&format!("case {case}, disruption: {}", if trouble { "yes" } else { "no" }));
     let verdict = match case.as_str() {
         "6" => case_6::run(trouble, &record),
+        "7" => case_7::run(trouble, &record),
         other => Err(format!("no case {other}")),
     };
     match verdict {
