--- a/review/tests/standins-2/case_6.rs
+++ b/review/tests/standins-2/case_6.rs
@@ -6,17 +6,17 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::Verdict;
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::daemon::Place;
 use crate::http;
-use crate::leaf::HEARTBEAT;
 use crate::leaf::Leaf;
 use crate::leaf::LeafSettings;
 use crate::leaf::Runs;
+use crate::leaf::HEARTBEAT;
 use crate::record::Record;
 use crate::store::Store;
+use crate::Verdict;
 
 const HOST: &str = "leno12.example";
 /// `rollback_slack_ms` of the settings.
@@ -150,7 +150,10 @@
             match http::call(front, &text, Duration::from_millis(3_500)) {
                 Ok(answer) => {
                     let seal = answer.header("x-response-seal");
-                    record.line(&format!("client gets {} for {id}, seal \"{seal}\"", answer.status()));
+                    record.line(&format!(
+                        "client gets {} for {id}, seal \"{seal}\"",
+                        answer.status()
+                    ));
                 }
                 Err(e) => record.line(&format!("client gets no answer for {id}: {e}")),
             }
@@ -168,7 +171,8 @@
     let mut broken = 0;
     for machine in 0..2 {
         let of_machine = |id: &str| sent.iter().find(|s| s.id == id && s.machine == machine);
-        let new_runs = runs.iter().filter(|r| r.service == "sendplan" && of_machine(&r.id).is_some());
+        let new_runs =
+            runs.iter().filter(|r| r.service == "sendplan" && of_machine(&r.id).is_some());
         let Some(seen_at) = new_runs.map(|run| run.at).min() else { continue };
         record.line(&format!(
             "a leaf has seen version 9 from front-muc-a-{} first at {:.3}",
--- a/review/tests/standins-2/case_7.rs
+++ b/review/tests/standins-2/case_7.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::Verdict;
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::daemon::Place;
@@ -16,6 +15,7 @@
 use crate::leaf::Runs;
 use crate::record::Record;
 use crate::store::Store;
+use crate::Verdict;
 
 const HOST: &str = "leno12.example";
 const SERVICE: &str = "salon-portal";
@@ -109,7 +109,10 @@
     let late: Vec<_> = late.collect();
     for run in &late {
         let after = (run.at - acknowledged_at).as_secs_f64();
-        record.line(&format!("BROKEN: {} reached i-7f3a91c0 {after:.3} s after it was draining", run.id));
+        record.line(&format!(
+            "BROKEN: {} reached i-7f3a91c0 {after:.3} s after it was draining",
+            run.id
+        ));
     }
     let all = sent.lock().unwrap().len();
     record.line(&format!("{} of {all} requests reached the leaf later than drain_ms", late.len()));
@@ -136,7 +139,10 @@
             match http::call(front, &text, Duration::from_millis(3_500)) {
                 Ok(answer) => {
                     let seal = answer.header("x-response-seal");
-                    record.line(&format!("client gets {} for {id}, seal \"{seal}\"", answer.status()));
+                    record.line(&format!(
+                        "client gets {} for {id}, seal \"{seal}\"",
+                        answer.status()
+                    ));
                 }
                 Err(e) => record.line(&format!("client gets no answer for {id}: {e}")),
             }
--- a/review/tests/standins-2/daemon.rs
+++ b/review/tests/standins-2/daemon.rs
@@ -109,7 +109,8 @@
     /// Sends a signal by its name, such as `TERM`.
     #[allow(dead_code)]
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        let _ =
+            Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
     }
 
     /// Waits until the daemon answers that it is ready.
--- a/review/tests/standins-2/http.rs
+++ b/review/tests/standins-2/http.rs
@@ -74,7 +74,8 @@
             let (name, value) = text.split_once(':')?;
             Some((name.trim().to_ascii_lowercase(), value.trim().to_owned()))
         };
-        let mut message = Message { line, headers: lines.filter_map(header).collect(), ..Message::default() };
+        let mut message =
+            Message { line, headers: lines.filter_map(header).collect(), ..Message::default() };
         if message.header("transfer-encoding").contains("chunked") {
             message.body = self.chunks()?;
         } else {
