--- a/review/tests/standins-2/case_6.rs
+++ b/review/tests/standins-2/case_6.rs
@@ -9,6 +9,7 @@
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::daemon::Place;
+use crate::daemon::SMALL;
 use crate::http;
 use crate::leaf::Leaf;
 use crate::leaf::LeafSettings;
@@ -79,7 +80,8 @@
     let mut daemons = Vec::new();
     for (n, &ip) in ips.iter().enumerate() {
         let name = format!("front-muc-a-{}", n + 1);
-        let place = Place { name: &name, zone: "muc-a", ip, seeds: &ips, store: store_addr };
+        let place =
+            Place { name: &name, zone: "muc-a", ip, seeds: &ips, store: store_addr, bounds: SMALL };
         daemons.push(Daemon::start(&place)?);
     }
     for daemon in &daemons {
@@ -88,7 +90,7 @@
     // Traffic starts 10 s after the machines do.
     std::thread::sleep(Duration::from_secs(10));
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let clients: Vec<_> = daemons[..2]
+    let clients: Vec<_> = daemons
         .iter()
         .enumerate()
         .map(|(machine, daemon)| {
@@ -169,7 +171,7 @@
 /// the new service has run one of that machine is run by the old service.
 fn check(sent: &[Sent], runs: &[crate::leaf::Run], record: &Record) -> bool {
     let mut broken = 0;
-    for machine in 0..2 {
+    for machine in 0..3 {
         let of_machine = |id: &str| sent.iter().find(|s| s.id == id && s.machine == machine);
         let new_runs =
             runs.iter().filter(|r| r.service == "sendplan" && of_machine(&r.id).is_some());
--- a/review/tests/standins-2/case_7.rs
+++ b/review/tests/standins-2/case_7.rs
@@ -9,6 +9,7 @@
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::daemon::Place;
+use crate::daemon::GROWN;
 use crate::http;
 use crate::leaf::Leaf;
 use crate::leaf::LeafSettings;
@@ -24,7 +25,7 @@
 /// Pause between two requests to one machine.
 const PAUSE: Duration = Duration::from_millis(66);
 /// `drain_ms` of the settings.
-const DRAIN: Duration = Duration::from_millis(3_000);
+const DRAIN: Duration = Duration::from_millis(GROWN.drain);
 /// Time between two starts of the leaf that goes down and up (`srv_flap`, `gap_s` 1.4).
 const FLAP: Duration = Duration::from_millis(1_400);
 /// Jump of the time of day (`clock_step`, `x` 2,400).
@@ -60,7 +61,7 @@
     let mut daemons = Vec::new();
     for (&ip, zone) in ips.iter().zip(ZONES) {
         let name = format!("front-{zone}-1");
-        let place = Place { name: &name, zone, ip, seeds: &ips, store: store_addr };
+        let place = Place { name: &name, zone, ip, seeds: &ips, store: store_addr, bounds: GROWN };
         daemons.push(Daemon::start(&place)?);
     }
     for daemon in &daemons {
@@ -69,7 +70,7 @@
     // Traffic starts 10 s after the machines do.
     std::thread::sleep(Duration::from_secs(10));
     let sent: Arc<Mutex<Vec<(String, Duration)>>> = Arc::default();
-    let until = record.now() + Duration::from_secs(30);
+    let until = record.now() + Duration::from_secs(32);
     let clients: Vec<_> = daemons
         .iter()
         .enumerate()
--- a/review/tests/standins-2/daemon.rs
+++ b/review/tests/standins-2/daemon.rs
@@ -60,12 +60,27 @@
     pub ip: IpAddr,
     pub seeds: &'a [IpAddr],
     pub store: SocketAddr,
+    pub bounds: Bounds,
 }
 
+/// Bounds of a deployment in milliseconds.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    pub contact: u64,
+    pub drain: u64,
+    pub config_apply: u64,
+}
+
+/// Bounds of `lidwerk-suche`.
+pub const SMALL: Bounds = Bounds { contact: 5_000, drain: 3_000, config_apply: 3_000 };
+/// Bounds of `lidwerk-suche-grown`.
+pub const GROWN: Bounds = Bounds { contact: 6_000, drain: 5_000, config_apply: 5_000 };
+
 impl Daemon {
     /// Starts a daemon with the settings of a small deployment (`lidwerk-suche`).
     pub fn start(place: &Place<'_>) -> Result<Self, String> {
-        let Place { name, zone, ip, seeds, store } = place;
+        let Place { name, zone, ip, seeds, store, bounds } = place;
+        let Bounds { contact, drain, config_apply } = bounds;
         let region = match *zone {
             "muc-a" => "oberbayern",
             "nue-a" => "franken",
@@ -82,8 +97,8 @@
              [listen_addrs]\nfront = \"{ip}:{FRONT_PORT}\"\nready_addr = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n\
              [limits]\ncpu_share = 0.25\ncpu_cores = 1\nmemory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n\
              [fault_tolerance]\nmachines = 2\nzones = 0\nregions = 0\n\
-             [bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 5000\nack_ms = 6000\ncatch_up_s = 4\ndrain_ms = 3000\n\
-             grace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = 3000\nrollback_slack_ms = 250\nskew_max_ms = 15000\n\
+             [bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = {contact}\nack_ms = 6000\ncatch_up_s = 4\ndrain_ms = {drain}\n\
+             grace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = {config_apply}\nrollback_slack_ms = 250\nskew_max_ms = 15000\n\
              retry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 58\nrecovery_s = 12\n\
              [platform]\naddress = \"{store}\"\nform = \"read\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\n\
              value_bytes = 1048576\nmin_ttl_ms = 1000\n"
--- a/review/tests/standins-2/store.rs
+++ b/review/tests/standins-2/store.rs
@@ -85,8 +85,11 @@
         changed.notify_all();
     }
 
-    fn is_cut(&self, machine: IpAddr) -> bool {
-        self.state.0.lock().unwrap().cut.contains(&machine)
+    /// Waits while a machine is partitioned. What was sent meanwhile arrives after that.
+    fn wait_until_reachable(&self, machine: IpAddr) {
+        let (state, changed) = &*self.state;
+        let state = state.lock().unwrap();
+        drop(changed.wait_while(state, |state| state.cut.contains(&machine)).unwrap());
     }
 
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
@@ -94,10 +97,7 @@
         stream.set_nodelay(true)?;
         let mut reader = Reader::new(stream.try_clone()?);
         while let Some(request) = reader.message()? {
-            if self.is_cut(machine) {
-                // What was sent into the partition stays unanswered for good.
-                std::thread::sleep(Duration::from_secs(3_600));
-            }
+            self.wait_until_reachable(machine);
             let (_, path) = request.request_line();
             let (path, query) = path.split_once('?').unwrap_or((path, ""));
             let query: BTreeMap<_, _> =
@@ -112,9 +112,7 @@
                 ),
                 _ => (404, "{}".to_owned()),
             };
-            if self.is_cut(machine) {
-                std::thread::sleep(Duration::from_secs(3_600));
-            }
+            self.wait_until_reachable(machine);
             let length = body.len();
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
